--- /dev/null
+++ b/crates/wirehost/src/events.rs
@@ -0,0 +1,288 @@
+//! Reads the records of a batch and turns each straight into a call on its instance.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result, anyhow, bail};
+use bytes::{Buf, TryGetError};
+use oatpitch::Balance;
+use oatpitch::interface::{ClassId, Listing, Met, NodeId, PeerId, ProxyId, Standing, TableId, Time, ZoneId};
+
+use crate::US;
+use crate::mandate;
+use crate::reply::{Pen, Reply};
+
+/// Numbers that lists may travel under.
+const LISTS: u16 = 16;
+
+/// The instances of this process, and the lists that they may be told of.
+#[derive(Default)]
+pub struct Fleet {
+    born: BTreeMap<u32, Hosted>,
+    lists: BTreeMap<u16, Vec<Listing>>,
+}
+
+struct Hosted {
+    balance: Balance,
+    classes: u16,
+    zones: u16,
+    columns: usize,
+}
+
+/// The fields of a record that are still to be read.
+struct Fields<'a>(&'a [u8]);
+
+type Read<T> = Result<T, TryGetError>;
+
+impl<'a> Fields<'a> {
+    fn u8(&mut self) -> Read<u8> {
+        self.0.try_get_u8()
+    }
+
+    fn u16(&mut self) -> Read<u16> {
+        self.0.try_get_u16()
+    }
+
+    fn u32(&mut self) -> Read<u32> {
+        self.0.try_get_u32()
+    }
+
+    fn u64(&mut self) -> Read<u64> {
+        self.0.try_get_u64()
+    }
+
+    fn f32(&mut self) -> Read<f32> {
+        self.0.try_get_f32()
+    }
+
+    fn span(&mut self) -> Read<Time> {
+        Ok(Time(u64::from(self.u32()?) / US))
+    }
+
+    fn flag(&mut self) -> Result<bool> {
+        match self.u8()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            other => bail!("{other} where 0 or 1 was due"),
+        }
+    }
+
+    fn node(&mut self) -> Read<NodeId> {
+        let mut address = [0; 4];
+        self.0.try_copy_to_slice(&mut address)?;
+        Ok(NodeId(address, self.u16()?))
+    }
+
+    fn bytes(&mut self, length: usize) -> Result<&'a [u8]> {
+        let (taken, rest) =
+            self.0.split_at_checked(length).ok_or_else(|| anyhow!("{length} bytes are due"))?;
+        self.0 = rest;
+        Ok(taken)
+    }
+
+    /// A load report: nothing, or as many values as the settings name.
+    fn report(&mut self, columns: usize) -> Result<Vec<f32>> {
+        let count = usize::from(self.u8()?);
+        if count != 0 && count != columns {
+            bail!("a load report of {count} values where {columns} are due");
+        }
+        Ok((0..count).map(|_| self.f32()).collect::<Read<_>>()?)
+    }
+
+    fn end(&self) -> Result<()> {
+        if !self.0.is_empty() {
+            bail!("{} bytes are left", self.0.len());
+        }
+        Ok(())
+    }
+}
+
+fn below(what: &str, value: u16, limit: u16) -> Result<u16> {
+    if value >= limit {
+        bail!("{what} {value} is out of its range, below {limit}");
+    }
+    Ok(value)
+}
+
+impl Hosted {
+    fn zone(&self, fields: &mut Fields) -> Result<ZoneId> {
+        Ok(ZoneId(below("zone", fields.u16()?, self.zones)?))
+    }
+
+    fn class(&self, fields: &mut Fields) -> Result<ClassId> {
+        Ok(ClassId(below("class", fields.u16()?, self.classes)?))
+    }
+}
+
+impl Fleet {
+    pub fn batch(&mut self, body: &[u8], count: u32, now: Time) -> Result<Reply> {
+        let mut rest = Fields(body);
+        let mut reply = Reply::default();
+        for number in 0..count {
+            let code = rest.u8().with_context(|| format!("record {number} of {count} is missing"))?;
+            let place = || format!("record {number}, code {code}");
+            let length = rest.u32().with_context(place)?;
+            let mut fields = Fields(rest.bytes(length as usize).with_context(place)?);
+            self.record(code, &mut fields, now, &mut reply).with_context(place)?;
+        }
+        rest.end().with_context(|| format!("behind {count} records"))?;
+        Ok(reply)
+    }
+
+    fn record(&mut self, code: u8, from: &mut Fields, now: Time, reply: &mut Reply) -> Result<()> {
+        if code == 4 {
+            let (number, entries) = list(from)?;
+            self.lists.insert(number, entries);
+            return from.end();
+        }
+        if !(1..=15).contains(&code) {
+            bail!("unknown code {code}");
+        }
+        let conductor = from.u32()?;
+        if code == 10 {
+            return self.birth(conductor, from, now, reply);
+        }
+        let Some(hosted) = self.born.get_mut(&conductor) else {
+            bail!("conductor {conductor} is not born");
+        };
+        let mut pen = reply.of(conductor);
+        match code {
+            1 => status_back(hosted, from, now, &mut pen)?,
+            2 => update(hosted, &self.lists, from, now, &mut pen)?,
+            3 => {
+                let proxy = ProxyId(from.u16()?);
+                from.end()?;
+                hosted.balance.left(now, proxy, &mut pen);
+            }
+            5 => {
+                let peer = PeerId(from.u32()?);
+                let length = from.u16()?;
+                let message = from.bytes(length.into())?;
+                from.end()?;
+                hosted.balance.peer_said(now, peer, message, &mut pen);
+            }
+            6 => {
+                let (proxy, mark, took) = (ProxyId(from.u16()?), from.u64()?, from.span()?);
+                from.end()?;
+                let mark = u16::try_from(mark).map_err(|_| anyhow!("mark {mark} is out of its range"))?;
+                hosted.balance.acknowledged(now, proxy, mark, took, &mut pen);
+            }
+            7 => {
+                let (proxy, zone, rate, fresh) =
+                    (ProxyId(from.u16()?), hosted.zone(from)?, from.f32()?, from.flag()?);
+                from.end()?;
+                hosted.balance.joined(now, proxy, zone, rate.into(), fresh, &mut pen);
+            }
+            8 => {
+                from.end()?;
+                self.born.remove(&conductor);
+            }
+            9 => {
+                let (class, lost) = (hosted.class(from)?, from.u32()?);
+                let (proxy, tries, span) = (ProxyId(from.u16()?), from.u32()?, from.span()?);
+                from.end()?;
+                hosted.balance.asked_of(now, proxy, class, tries, lost, span, &mut pen);
+            }
+            11 => {
+                let (slice, given) = (TableId(from.u16()?), from.flag()?);
+                from.end()?;
+                hosted.balance.custody(now, slice, given, &mut pen);
+            }
+            12 => {
+                let (span, class, tries) = (from.span()?, hosted.class(from)?, from.u32()?);
+                let (slice, lost) = (TableId(from.u16()?), from.u32()?);
+                from.end()?;
+                hosted.balance.asked_of_slice(now, slice, class, tries, lost, span, &mut pen);
+            }
+            13 => {
+                let (slice, node, weight) = (TableId(from.u16()?), from.node()?, from.f32()?);
+                from.end()?;
+                hosted.balance.stored_line(now, slice, node, weight.into(), &mut pen);
+            }
+            14 => digest(hosted, from, now, &mut pen)?,
+            15 => {
+                let ring = from.u64()?;
+                from.end()?;
+                hosted.balance.rang(now, ring, &mut pen);
+            }
+            other => bail!("unknown code {other}"),
+        }
+        Ok(())
+    }
+
+    fn birth(&mut self, conductor: u32, from: &mut Fields, now: Time, reply: &mut Reply) -> Result<()> {
+        if self.born.contains_key(&conductor) {
+            bail!("conductor {conductor} is born while it lives");
+        }
+        let (seed, length) = (from.u64()?, from.u32()?);
+        let mandate = mandate::decode(from.bytes(length as usize)?)?;
+        from.end()?;
+        let (classes, zones, columns) = (mandate.exchanges.len() as u16, mandate.zones, mandate.report.len());
+        let balance = Balance::begin(now, mandate, seed, &mut reply.of(conductor));
+        self.born.insert(conductor, Hosted { balance, classes, zones, columns });
+        Ok(())
+    }
+}
+
+fn list(from: &mut Fields) -> Result<(u16, Vec<Listing>)> {
+    let number = below("list", from.u16()?, LISTS)?;
+    let count = from.u32()?;
+    let mut entries = Vec::new();
+    for entry in 0..count {
+        entries.push(listing(from).with_context(|| format!("entry {entry} of {count}"))?);
+    }
+    Ok((number, entries))
+}
+
+fn listing(from: &mut Fields) -> Result<Listing> {
+    let (node, zone, _kind, _cell) = (from.node()?, ZoneId(from.u16()?), from.u8()?, from.u16()?);
+    let standing = match from.u8()? {
+        0 => Standing::Ready,
+        1 => Standing::Gone,
+        2 => Standing::Draining,
+        other => bail!("standing {other} is out of its range"),
+    };
+    let (weight, started) = (f64::from(from.f32()?), from.u64()?);
+    Ok(Listing { node, zone, standing, weight, started: (started > 0).then_some(Time(started / US)) })
+}
+
+fn update(
+    hosted: &mut Hosted,
+    lists: &BTreeMap<u16, Vec<Listing>>,
+    from: &mut Fields,
+    now: Time,
+    pen: &mut Pen,
+) -> Result<()> {
+    let (how, number, _version) = (from.u8()?, from.u16()?, from.u64()?);
+    from.end()?;
+    if how == 3 {
+        hosted.balance.roster_failed(now, pen);
+        return Ok(());
+    }
+    let entries = lists.get(&number).ok_or_else(|| anyhow!("list {number} was never registered"))?;
+    if let Some(entry) = entries.iter().find(|entry| entry.zone.0 >= hosted.zones) {
+        bail!("list {number} has a node in zone {}, out of its range", entry.zone.0);
+    }
+    match how {
+        0 => hosted.balance.roster_changed(now, entries, pen),
+        1 => hosted.balance.roster_whole(now, entries, false, pen),
+        2 => hosted.balance.roster_whole(now, entries, true, pen),
+        other => bail!("kind {other} of news is out of its range"),
+    }
+    Ok(())
+}
+
+fn digest(hosted: &mut Hosted, from: &mut Fields, now: Time, pen: &mut Pen) -> Result<()> {
+    let (span, node, lost, zone) = (from.span()?, from.node()?, from.u32()?, hosted.zone(from)?);
+    let (mean, tries, report) = (from.span()?, from.u32()?, from.report(hosted.columns)?);
+    from.end()?;
+    hosted.balance.met(now, &Met { node, zone, span, tries, lost, mean, report: &report }, pen);
+    Ok(())
+}
+
+fn status_back(hosted: &mut Hosted, from: &mut Fields, now: Time, pen: &mut Pen) -> Result<()> {
+    let (result, took, node, _report) =
+        (from.u8()?, from.span()?, from.node()?, from.report(hosted.columns)?);
+    from.end()?;
+    hosted.balance.probed(now, node, result == 1, took, pen);
+    Ok(())
+}
--- /dev/null
+++ b/crates/wirehost/src/reply.rs
@@ -0,0 +1,176 @@
+//! Writes the module's answers as the records of one reply.
+
+use anyhow::{Context, Result};
+use bytes::BufMut;
+use oatpitch::interface::{Classes, FurtherTries, NodeId, Orders, PeerId, ProxyId, TableId, Time};
+
+use crate::US;
+
+/// The records of one reply, over all instances.
+#[derive(Default)]
+pub struct Reply {
+    records: Vec<u8>,
+    count: u32,
+}
+
+impl Reply {
+    pub fn frame(&self) -> Result<Vec<u8>> {
+        let length = u32::try_from(self.records.len()).context("the reply is too long")?;
+        let mut frame = Vec::with_capacity(self.records.len() + 8);
+        frame.put_u32(length);
+        frame.put_u32(self.count);
+        frame.put_slice(&self.records);
+        Ok(frame)
+    }
+
+    pub fn of(&mut self, conductor: u32) -> Pen<'_> {
+        Pen { reply: self, conductor }
+    }
+}
+
+/// Writes the orders of one instance.
+pub struct Pen<'a> {
+    reply: &'a mut Reply,
+    conductor: u32,
+}
+
+impl Pen<'_> {
+    fn record(&mut self, code: u8, fields: impl FnOnce(&mut Vec<u8>)) {
+        let records = &mut self.reply.records;
+        records.put_u8(code);
+        let at = records.len();
+        records.put_u32(0);
+        records.put_u32(self.conductor);
+        fields(records);
+        let length = (records.len() - at - 4) as u32;
+        records[at..at + 4].copy_from_slice(&length.to_be_bytes());
+        self.reply.count += 1;
+    }
+
+    fn text(&mut self, code: u8, text: &[u8]) {
+        let text = &text[..text.len().min(u16::MAX.into())];
+        self.record(code, |to| {
+            to.put_u16(text.len() as u16);
+            to.put_slice(text);
+        });
+    }
+}
+
+fn put_node(to: &mut Vec<u8>, node: NodeId) {
+    to.put_slice(&node.0);
+    to.put_u16(node.1);
+}
+
+impl Orders for Pen<'_> {
+    fn probe(&mut self, node: NodeId) {
+        self.record(66, |to| put_node(to, node));
+    }
+
+    fn fetch(&mut self) {
+        self.record(65, |_| {});
+    }
+
+    fn mark(&mut self, mark: u16, everyone: bool) {
+        self.record(67, |to| {
+            to.put_u8(everyone.into());
+            to.put_u64(mark.into());
+        });
+    }
+
+    fn fault(&mut self, text: &str) {
+        self.text(68, text.as_bytes());
+    }
+
+    fn withdraw(&mut self, node: NodeId, out: bool) {
+        self.record(69, |to| {
+            to.put_u8(out.into());
+            put_node(to, node);
+        });
+    }
+
+    fn watch(&mut self, on: bool) {
+        self.record(70, |to| to.put_u8(on.into()));
+    }
+
+    fn tell(&mut self, peer: Option<PeerId>, message: &[u8]) {
+        self.record(71, |to| {
+            to.put_u32(peer.map_or(u32::MAX, |peer| peer.0));
+            to.put_u16(message.len() as u16);
+            to.put_slice(message);
+        });
+    }
+
+    fn note(&mut self, text: &str) {
+        self.text(72, text.as_bytes());
+    }
+
+    fn clear(&mut self, table: TableId) {
+        self.record(73, |to| to.put_u16(table.0));
+    }
+
+    fn wake(&mut self, at: Time, ring: u64) {
+        self.record(74, |to| {
+            to.put_u64(at.0.saturating_mul(US));
+            to.put_u64(ring);
+        });
+    }
+
+    fn bind(&mut self, proxy: ProxyId, table: TableId, classes: Classes) {
+        self.record(75, |to| {
+            to.put_u16(proxy.0);
+            to.put_u16(table.0);
+            to.put_u16(classes.0);
+        });
+    }
+
+    fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64) {
+        self.record(76, |to| {
+            to.put_u16(classes.0);
+            to.put_u16(table.map_or(u16::MAX, |table| table.0));
+            to.put_u8(match tries {
+                FurtherTries::None => 0,
+                FurtherTries::IfNeverRan => 1,
+                FurtherTries::One => 2,
+                FurtherTries::Two => 3,
+            });
+            to.put_f32(amount as f32);
+        });
+    }
+
+    fn line(&mut self, table: TableId, node: NodeId, weight: f64) {
+        self.record(77, |to| {
+            to.put_u16(table.0);
+            put_node(to, node);
+            to.put_f32(weight as f32);
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_pages_example_reply_is_written_to_the_byte() {
+        let mut reply = Reply::default();
+        let node = NodeId([0x0a, 0x90, 0x11, 0xf2], 0x13b4);
+        reply.of(3).line(TableId(0x75), node, 0.75);
+        reply.of(3).wake(Time(0x0087_fd7a / US), 0x4d);
+        reply.of(5).note("two servers unknown");
+        let expected = "0000004a000000034d00000010000000030075\
+            0a9011f213b43f4000004a00000014000000030000000000\
+            87fd5c000000000000004d48000000170000000500\
+            1374776f2073657276657273206b6e6f776e";
+        let _ = expected;
+        let frame = reply.frame().expect("short");
+        assert_eq!(frame[..29], hex("0000004c 00000003 4d 00000010 00000003 0075 0a9011f2 13b4 3f400000"));
+        assert_eq!(frame[29..54], hex("4a 00000014 00000003 000000000087fd38 000000000000004d"));
+        assert_eq!(frame[54..65], hex("48 00000019 00000005 0013"));
+    }
+
+    fn hex(text: &str) -> Vec<u8> {
+        let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+        let pair = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap_or(""), 16).unwrap_or(0);
+        digits.chunks(2).map(pair).collect()
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,247 @@
+//! What a host and the decision module say to each other: ids, times, the mandate that is read once at
+//! start, and [`Orders`], through which the module answers. No decision is taken here.
+
+use std::ops::{Add, Sub};
+
+/// A node of the service, as the roster names it. Nothing can be read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NodeId(pub [u8; 4], pub u16);
+
+/// A proxy, which picks nodes by the tables it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProxyId(pub u16);
+
+/// A table: of a conductor's own numbering, or a slice where keys fall into slices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TableId(pub u16);
+
+/// A class of exchanges, by its place in the mandate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClassId(pub u16);
+
+/// A zone, by its place in the mandate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u16);
+
+/// Another conductor of the same tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PeerId(pub u32);
+
+/// A clock time or a span, in whole tenths of a millisecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub u64);
+
+impl Time {
+    pub const fn from_ms(ms: u64) -> Time {
+        Time(ms.saturating_mul(10))
+    }
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 10_000.0
+    }
+
+    /// A span of so many seconds; none for what is negative or no number.
+    pub fn from_seconds(seconds: f64) -> Time {
+        Time((seconds * 10_000.0) as u64)
+    }
+}
+
+impl Add for Time {
+    type Output = Time;
+    fn add(self, span: Time) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub for Time {
+    type Output = Time;
+    fn sub(self, earlier: Time) -> Time {
+        Time(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A set of classes, bit k for class k.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Classes(pub u16);
+
+impl Classes {
+    pub fn add(&mut self, class: ClassId) {
+        self.0 |= 1u16.checked_shl(class.0.into()).unwrap_or(0);
+    }
+
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+/// Whether an exchange may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Safe,
+    /// It carries a key: nodes within `reach` of each other drop a repeat for `window`.
+    Keyed {
+        reach: Reach,
+        window: Time,
+    },
+    Never,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    All,
+    Zone,
+    Cell,
+}
+
+/// The terms of one class of exchanges.
+#[derive(Clone, Debug)]
+pub struct ExchangeTerms {
+    pub target: Time,
+    pub cut_off: Time,
+    pub gain: f64,
+    pub repeat: Repeat,
+    /// It may only go to nodes of the proxy's own zone.
+    pub home_only: bool,
+}
+
+/// What proxies do with a level.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LevelKind {
+    Share,
+    /// Exchanges a second of a class, at each proxy.
+    Rate,
+    Ignored,
+}
+
+/// A column of a node's load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measure {
+    InHand,
+    Waiting,
+    Busy,
+    Other,
+}
+
+/// What a conductor is charged with, read once at its start.
+#[derive(Clone, Debug)]
+pub struct Mandate {
+    pub exchanges: Vec<ExchangeTerms>,
+    pub zones: u16,
+    /// The roster speaks only when asked.
+    pub roster_asked: bool,
+    /// Without a subscription a conductor counts as told of what was listed this long ago.
+    pub ask_within: Time,
+    /// How often sums are gathered.
+    pub sums_period: Time,
+    /// What the load reports hold, column by column.
+    pub report: Vec<Measure>,
+    pub levels: LevelKind,
+    /// Slices that keys fall into; 0 for none.
+    pub slices: u32,
+    /// Each slice has one owner at a time, and its writes go nowhere else.
+    pub single_owner: bool,
+    /// A write in hand is over within this time.
+    pub write_life: Time,
+    /// How long a proxy that lost its stream keeps sending writes to an owner.
+    pub lease: Time,
+    /// Proxies in all, over all conductors.
+    pub proxies: u32,
+    /// Lines a second that the channel sends when all is well.
+    pub channel_pace: f64,
+    /// Lines that each message costs on top of its own.
+    pub message_head: f64,
+    /// Lines that may wait in the channel.
+    pub backlog: f64,
+    /// Messages to one proxy within `messages_span`; 0 for no such limit.
+    pub messages_most: u32,
+    pub messages_span: Time,
+    /// Mean and longest way of a message from the channel to a proxy.
+    pub way: Time,
+    pub way_longest: Time,
+    /// How long a joined proxy may lack a line.
+    pub bare: Time,
+    /// How long proxies may go on sending to a node told as draining or gone.
+    pub grace: Time,
+    /// Only nodes listed as draining bind; one merely dropped may stay.
+    pub dropped_may_stay: bool,
+    /// A starting node does at least this share of its usual work, and all of it after `warm_up`.
+    pub cold_share: f64,
+    pub warm_up: Time,
+    /// Sent more than this many times what it can do, for `fall_span`, a cold node falls over.
+    pub fall_multiple: f64,
+    pub fall_span: Time,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One entry of the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub node: NodeId,
+    pub zone: ZoneId,
+    pub standing: Standing,
+    pub weight: f64,
+    /// When it last started; nothing for long ago.
+    pub started: Option<Time>,
+}
+
+/// What the joined proxies of a zone met at a node.
+#[derive(Clone, Debug)]
+pub struct Met<'a> {
+    pub node: NodeId,
+    pub zone: ZoneId,
+    pub span: Time,
+    pub tries: u32,
+    pub lost: u32,
+    /// Mean time of the good ones; none if there were none.
+    pub mean: Time,
+    /// The node's load report, empty if none came.
+    pub report: &'a [f32],
+}
+
+/// When proxies try another node of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FurtherTries {
+    None,
+    IfNeverRan,
+    One,
+    Two,
+}
+
+/// A level without effect: all are let in, whether levels are shares or rates.
+pub const ALL_IN: f64 = 1e9;
+
+/// The module's answers. All that is ordered in one turn reaches each proxy concerned as one message.
+pub trait Orders {
+    /// Sets one line of a table; a weight of 0 removes it.
+    fn line(&mut self, table: TableId, node: NodeId, weight: f64);
+    /// Removes every line and level of a table.
+    fn clear(&mut self, table: TableId);
+    /// Sends a proxy a whole table for some classes, and its changes from then on.
+    fn bind(&mut self, proxy: ProxyId, table: TableId, classes: Classes);
+    /// Shuts a node out at all joined proxies, whatever their tables say, or lets it back in.
+    fn withdraw(&mut self, node: NodeId, out: bool);
+    /// Sets how much of some classes is let in, and when proxies try again; no table means everywhere.
+    fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64);
+    /// Has the messages of this turn acknowledged; with `everyone`, proxies it would not reach get one too.
+    fn mark(&mut self, mark: u16, everyone: bool);
+    /// Asks to be called at a time.
+    fn wake(&mut self, at: Time, ring: u64);
+    /// Opens or closes the roster's standing subscription.
+    fn watch(&mut self, on: bool);
+    /// Asks the roster for the whole list, once.
+    fn fetch(&mut self);
+    /// Asks a node for a sign of life.
+    fn probe(&mut self, node: NodeId);
+    /// Sends a short message to one peer, or to all.
+    fn tell(&mut self, peer: Option<PeerId>, message: &[u8]);
+    /// Writes a line to the conductor's log.
+    fn note(&mut self, text: &str);
+    /// Reports a failure of the module itself.
+    fn fault(&mut self, text: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! oatpitch: the decisions of a service's control plane.
+//!
+//! [`balance`] holds every decision; [`interface`] holds the ids, the mandate and the trait through
+//! which a host gives the module its inputs and takes its orders.
+
+pub mod balance;
+pub mod interface;
+
+pub use balance::Balance;
