--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -5,7 +5,9 @@
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::{Buf, TryGetError};
 use oatpitch::Balance;
-use oatpitch::interface::{ClassId, Listing, Met, NodeId, PeerId, ProxyId, Standing, TableId, Time, ZoneId};
+use oatpitch::interface::{
+    Asked, ClassId, Listing, Met, NodeId, PeerId, ProxyId, Standing, TableId, Time, ZoneId,
+};
 
 use crate::US;
 use crate::mandate;
@@ -177,10 +179,10 @@
                 self.born.remove(&conductor);
             }
             9 => {
-                let (class, lost) = (hosted.class(from)?, from.u32()?);
-                let (proxy, tries, span) = (ProxyId(from.u16()?), from.u32()?, from.span()?);
+                let (class, lost, proxy) = (hosted.class(from)?, from.u32()?, Some(ProxyId(from.u16()?)));
+                let (exchanges, span) = (from.u32()?, from.span()?);
                 from.end()?;
-                hosted.balance.asked_of(now, proxy, class, tries, lost, span, &mut pen);
+                hosted.balance.asked(now, &Asked { proxy, class, exchanges, lost, span }, &mut pen);
             }
             11 => {
                 let (slice, given) = (TableId(from.u16()?), from.flag()?);
@@ -188,10 +190,10 @@
                 hosted.balance.custody(now, slice, given, &mut pen);
             }
             12 => {
-                let (span, class, tries) = (from.span()?, hosted.class(from)?, from.u32()?);
-                let (slice, lost) = (TableId(from.u16()?), from.u32()?);
+                let (span, class, exchanges) = (from.span()?, hosted.class(from)?, from.u32()?);
+                let (_slice, lost) = (from.u16()?, from.u32()?);
                 from.end()?;
-                hosted.balance.asked_of_slice(now, slice, class, tries, lost, span, &mut pen);
+                hosted.balance.asked(now, &Asked { proxy: None, class, exchanges, lost, span }, &mut pen);
             }
             13 => {
                 let (slice, node, weight) = (TableId(from.u16()?), from.node()?, from.f32()?);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,10 +34,52 @@
 const ASK_PATIENCE: Time = Time::from_ms(5_000);
 /// Share of the stated pace below which the channel is never believed to be.
 const PACE_FLOOR: f64 = 0.05;
+/// Time in which what was heard of a node fades to a third: a few gatherings of sums.
+const MEMORY: Time = Time::from_ms(2_000);
+/// How often nodes are judged: sums come about as often.
+const JUDGE_PERIOD: Time = Time::from_ms(500);
+/// Tries (count) that must have ended lately at a node for its judgement.
+const EVIDENCE: f64 = 3.0;
+/// Mean time at a node, as a share of the mean target time, from which its slowness does harm.
+const HARM: f64 = 0.5;
+/// How many times slower than the fleet's middle a harmed node is when it is eased.
+const SLOW: f64 = 1.4;
+/// Share of tries lost above the fleet's middle for which a node is eased, and is put on trial.
+const LOSSY: f64 = 0.1;
+const FAILING: f64 = 0.5;
+/// Part of its weight that a node on trial keeps, and the least that one not failing keeps.
+const TRICKLE: f64 = 0.02;
+const EASE_LEAST: f64 = 0.1;
+/// How much an eased node is raised at a time, when it is clear.
+const RAISE: f64 = 1.5;
+/// How long sums lag behind an order, beyond the way of a message and their own period.
+const HEARD_LATE: Time = Time::from_ms(1_000);
+/// Wait of an eased node before it is raised, doubled by each relapse up to 16 times.
+const HOLD: Time = Time::from_ms(4_000);
+/// Share of the listed weight that easing may take from the table; only nodes where nothing comes back
+/// may go beyond, since their part is lost either way.
+const EASED_MOST: f64 = 0.5;
 
 // ---- State ----
 
-/// What the roster tells of a node, and how far it has come back.
+/// A sum that decays over [`MEMORY`], brought up to date when read.
+#[derive(Clone, Copy, Default)]
+struct Sum {
+    sum: f64,
+    at: Time,
+}
+
+impl Sum {
+    fn read(&self, now: Time) -> f64 {
+        self.sum * (-(now - self.at).seconds() / MEMORY.seconds()).exp()
+    }
+
+    fn add(&mut self, now: Time, amount: f64) {
+        *self = Sum { sum: self.read(now) + amount, at: now };
+    }
+}
+
+/// What the roster tells of a node, what proxies met there, and how far it has come back.
 struct Node {
     zone: ZoneId,
     listed: f64,
@@ -48,6 +90,17 @@
     started: Option<Time>,
     step: u32,
     stepped: Time,
+    /// What ended there lately: tries, those lost, and the time of the good ones in seconds.
+    tries: Sum,
+    lost: Sum,
+    time: Sum,
+    /// Share of its weight that its health leaves it, and when that last changed.
+    ease: f64,
+    /// Until then what is heard tells of the time before the last change.
+    blind: Time,
+    /// Until then it is not raised; each relapse doubles the wait.
+    held: Time,
+    relapses: u32,
 }
 
 struct Proxy {
@@ -123,6 +176,9 @@
     watch: Watch,
     failures: u32,
     tries_set: bool,
+    /// Exchanges heard lately, by class.
+    demand: Vec<Sum>,
+    judged: Time,
     slices: BTreeMap<TableId, Slice>,
     alarm: Option<Time>,
 }
@@ -131,10 +187,11 @@
 type Rule = fn(&mut Balance, &mut dyn Orders) -> bool;
 
 /// The logic, in order.
-const RULES: [Rule; 9] = [
+const RULES: [Rule; 10] = [
     Balance::ask_roster,
     Balance::withdraw_barred,
     Balance::step_ramp,
+    Balance::judge,
     Balance::gather_change,
     Balance::bind_urgent,
     Balance::flush,
@@ -149,6 +206,7 @@
     pub fn begin(now: Time, mandate: Mandate, seed: u64, orders: &mut dyn Orders) -> Balance {
         let channel = Channel { waiting: 0.0, at: now, pace: mandate.channel_pace, written: BTreeSet::new() };
         let watch = if mandate.roster_asked { Watch::Due(now) } else { Watch::Standing };
+        let demand = vec![Sum::default(); mandate.exchanges.len()];
         let mut balance = Balance {
             mandate,
             now,
@@ -168,6 +226,8 @@
             watch,
             failures: 0,
             tries_set: false,
+            demand,
+            judged: now,
             slices: BTreeMap::new(),
             alarm: None,
         };
@@ -230,38 +290,22 @@
         self.settle(now, orders);
     }
 
-    /// What the proxies of a zone met at a node.
-    pub fn met(&mut self, now: Time, _met: &Met, orders: &mut dyn Orders) {
-        self.settle(now, orders);
-    }
-
-    /// Exchanges of a class that came to a proxy.
-    #[allow(clippy::too_many_arguments)]
-    pub fn asked_of(
-        &mut self,
-        now: Time,
-        _proxy: ProxyId,
-        _class: ClassId,
-        _tries: u32,
-        _lost: u32,
-        _span: Time,
-        orders: &mut dyn Orders,
-    ) {
+    /// What the proxies of a zone met at a node; sums that contradict themselves are cut to what can be.
+    pub fn met(&mut self, now: Time, met: &Met, orders: &mut dyn Orders) {
+        self.turn(now);
+        let lost = met.lost.min(met.tries);
+        if let Some(node) = self.snapshot.get_mut(&met.node).filter(|node| now >= node.blind) {
+            node.tries.add(now, met.tries.into());
+            node.lost.add(now, lost.into());
+            node.time.add(now, f64::from(met.tries - lost) * met.mean.seconds());
+        }
         self.settle(now, orders);
     }
 
-    /// Exchanges of a class that came for a slice: slices stay where they are while their node is open.
-    #[allow(clippy::too_many_arguments)]
-    pub fn asked_of_slice(
-        &mut self,
-        now: Time,
-        _slice: TableId,
-        _class: ClassId,
-        _tries: u32,
-        _lost: u32,
-        _span: Time,
-        orders: &mut dyn Orders,
-    ) {
+    pub fn asked(&mut self, now: Time, asked: &Asked, orders: &mut dyn Orders) {
+        if let Some(sum) = self.demand.get_mut(usize::from(asked.class.0)) {
+            sum.add(now, asked.exchanges.into());
+        }
         self.settle(now, orders);
     }
 
@@ -363,11 +407,20 @@
             started: entry.started,
             step: steps,
             stepped: now,
+            tries: Sum::default(),
+            lost: Sum::default(),
+            time: Sum::default(),
+            ease: 1.0,
+            blind: Time::default(),
+            held: Time::default(),
+            relapses: 0,
         });
         if entry.standing != Standing::Gone {
             if entry.started > node.started {
-                node.step = steps;
-                node.stepped = now;
+                (node.step, node.stepped) = (steps, now);
+                // Its ramp is its trial: what was met before it restarted says nothing of it.
+                (node.ease, node.blind) = (1.0, now);
+                (node.tries, node.lost, node.time) = Default::default();
             }
             (node.zone, node.listed, node.started) = (entry.zone, listed, entry.started);
         }
@@ -408,7 +461,7 @@
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * warmth;
             share = share.min(warmth * self.mandate.fall_multiple * FALL_MARGIN * crowd);
         }
-        node.listed * share.max(0.01)
+        node.listed * (share * node.ease).max(0.01)
     }
 
     fn home_only(&self) -> Classes {
@@ -423,6 +476,17 @@
         classes
     }
 
+    /// The mean target time, by the demand heard, in seconds.
+    fn mean_target(&self) -> f64 {
+        let part = |(terms, demand): (&ExchangeTerms, &Sum)| {
+            let weight = demand.read(self.now) + 1e-3;
+            (weight, weight * terms.target.seconds())
+        };
+        let parts = self.mandate.exchanges.iter().zip(&self.demand).map(part);
+        let (weight, target) = parts.fold((0.0, 0.0), |sum, part| (sum.0 + part.0, sum.1 + part.1));
+        if weight > 0.0 { target / weight } else { 0.0 }
+    }
+
     /// Rule 2: further tries go only as far as no second effect can come of them.
     fn tries(&self, terms: &ExchangeTerms) -> FurtherTries {
         let held = match terms.repeat {
@@ -521,6 +585,21 @@
     }
 }
 
+impl Node {
+    /// Share of tries lost and mean time of the good ones, in seconds, where enough was heard.
+    fn symptoms(&self, now: Time) -> Option<(f64, f64)> {
+        let (tries, lost) = (self.tries.read(now), self.lost.read(now));
+        (tries >= EVIDENCE).then(|| (lost / tries, self.time.read(now) / (tries - lost).max(1e-3)))
+    }
+}
+
+/// The middle of some figures, 0 for none.
+fn middle(figures: impl Iterator<Item = f64>) -> f64 {
+    let mut figures: Vec<f64> = figures.collect();
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(0.0)
+}
+
 fn home_table(zone: ZoneId) -> TableId {
     TableId(SHARED.0 + 1 + zone.0)
 }
@@ -586,6 +665,63 @@
         true
     }
 
+    /// Nodes are judged by kinds of symptom against the fleet's middle, which heavy exchanges, a sick proxy
+    /// or an overload of all shift for every node alike. Lost tries cover failing, silent, hung, cut off and
+    /// full nodes; times long enough to harm cover slow, paused, shared and overloaded ones. What is eased
+    /// is bounded, so that where most look bad it is the judgement that is doubted.
+    fn judge(&mut self, _orders: &mut dyn Orders) -> bool {
+        let now = self.now;
+        if self.sliced() || now < self.judged + JUDGE_PERIOD {
+            return false;
+        }
+        self.judged = now;
+        let heard: Vec<(f64, f64)> = self
+            .snapshot
+            .values()
+            .filter(|node| node.open && node.ease >= 1.0)
+            .filter_map(|node| node.symptoms(now))
+            .collect();
+        if heard.len() * 4 < self.snapshot.len() {
+            return true;
+        }
+        let (loss, time) = (middle(heard.iter().map(|h| h.0)), middle(heard.iter().map(|h| h.1)));
+        let harm = HARM * self.mean_target();
+        let listed: f64 = self.snapshot.values().filter(|node| node.open).map(|node| node.listed).sum();
+        let mut eased: f64 =
+            self.snapshot.values().filter(|node| node.open).map(|node| node.listed * (1.0 - node.ease)).sum();
+        let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE;
+        for node in self.snapshot.values_mut().filter(|node| node.open) {
+            let met = node.symptoms(now);
+            let ease = match met {
+                Some((lost, _)) if lost > loss + FAILING => TRICKLE,
+                Some((lost, _)) if lost > loss + LOSSY => (node.ease * 0.5).max(EASE_LEAST),
+                Some((_, slow)) if slow > harm && slow > time * SLOW => {
+                    (node.ease * (time / slow).max(0.25)).max(EASE_LEAST)
+                }
+                None if node.ease > TRICKLE => node.ease,
+                _ if now >= node.held => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
+                _ => node.ease,
+            };
+            let more = node.listed * (node.ease - ease);
+            let gone = met.is_some_and(|(lost, _)| lost > 0.95);
+            if ease == node.ease || more > 0.0 && !gone && eased + more > listed * EASED_MOST {
+                continue;
+            }
+            if ease < node.ease {
+                let wait = HOLD.0 << node.relapses.min(4);
+                node.held = now + Time(wait);
+                node.relapses += 1;
+            } else {
+                node.held = now + lag;
+            }
+            eased += more;
+            node.ease = ease;
+            node.blind = now + lag;
+            (node.tries, node.lost, node.time) = Default::default();
+        }
+        true
+    }
+
     /// A line should differ from what was pushed: the change waits in the buffer. One that was undone nets
     /// out.
     fn gather_change(&mut self, _orders: &mut dyn Orders) -> bool {
@@ -772,6 +908,7 @@
         let steps = self.snapshot.values().any(|node| node.step < RAMP_STEPS);
         let lost = self.slices.values().any(|slice| slice.lost.is_some());
         let again = (barred || steps || lost).then_some(soon);
+        let judge = (!self.sliced()).then(|| self.judged + JUDGE_PERIOD);
         let due = [
             asks,
             self.flush_due().map(|due| if due > self.now { due } else { soon }),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -204,6 +204,18 @@
     pub report: &'a [f32],
 }
 
+/// Exchanges of a class that came to a proxy, or for a slice.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// None where they are counted by slice.
+    pub proxy: Option<ProxyId>,
+    pub class: ClassId,
+    pub exchanges: u32,
+    /// Let in, but not answered.
+    pub lost: u32,
+    pub span: Time,
+}
+
 /// When proxies try another node of the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FurtherTries {
