--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,9 @@
 /// Part of its weight that a node on trial keeps, and the least that one not failing keeps.
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
+/// Share of tries lost at the fleet's middle from which it is tense, and short of capacity.
+const TENSE: f64 = 0.06;
+const SHORT: f64 = 0.3;
 /// How much an eased node is raised at a time, when it is clear.
 const RAISE: f64 = 1.5;
 /// How long sums lag behind an order, beyond the way of a message and their own period.
@@ -130,6 +133,16 @@
     late: bool,
 }
 
+/// How far the fleet as a whole falls short: further tries feed an overload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Strain {
+    Calm,
+    /// Only tries that provably never ran are repeated.
+    Tense,
+    /// None are.
+    Short,
+}
+
 /// The roster's subscription, where it has to be asked for.
 enum Watch {
     Standing,
@@ -175,7 +188,11 @@
     flushed: Option<Time>,
     watch: Watch,
     failures: u32,
-    tries_set: bool,
+    /// How short of capacity the fleet looks, what the table's tries were last set for, and since when it
+    /// looked no worse.
+    strain: Strain,
+    strain_set: Option<Strain>,
+    strained: Time,
     /// Exchanges heard lately, by class.
     demand: Vec<Sum>,
     judged: Time,
@@ -225,7 +242,9 @@
             flushed: None,
             watch,
             failures: 0,
-            tries_set: false,
+            strain: Strain::Calm,
+            strain_set: None,
+            strained: now,
             demand,
             judged: now,
             slices: BTreeMap::new(),
@@ -498,7 +517,11 @@
             }
             Repeat::Keyed { reach: Reach::Cell, .. } | Repeat::Never => false,
         };
-        if held { FurtherTries::One } else { FurtherTries::IfNeverRan }
+        match self.strain {
+            Strain::Calm if held => FurtherTries::One,
+            Strain::Calm | Strain::Tense => FurtherTries::IfNeverRan,
+            Strain::Short => FurtherTries::None,
+        }
     }
 
     // ---- The channel ----
@@ -669,7 +692,7 @@
     /// or an overload of all shift for every node alike. Lost tries cover failing, silent, hung, cut off and
     /// full nodes; times long enough to harm cover slow, paused, shared and overloaded ones. What is eased
     /// is bounded, so that where most look bad it is the judgement that is doubted.
-    fn judge(&mut self, _orders: &mut dyn Orders) -> bool {
+    fn judge(&mut self, orders: &mut dyn Orders) -> bool {
         let now = self.now;
         if self.sliced() || now < self.judged + JUDGE_PERIOD {
             return false;
@@ -681,16 +704,28 @@
             .filter(|node| node.open && node.ease >= 1.0)
             .filter_map(|node| node.symptoms(now))
             .collect();
-        if heard.len() * 4 < self.snapshot.len() {
-            return true;
-        }
         let (loss, time) = (middle(heard.iter().map(|h| h.0)), middle(heard.iter().map(|h| h.1)));
+        let worst = middle(self.snapshot.values().filter_map(|node| node.symptoms(now)).map(|met| met.0));
+        let strain = match worst {
+            lost if lost > SHORT => Strain::Short,
+            lost if lost > TENSE => Strain::Tense,
+            _ => Strain::Calm,
+        };
+        if strain >= self.strain {
+            self.strained = now;
+        }
+        if strain > self.strain {
+            orders.note(&format!("fleet {strain:?}: {worst:.2} of tries lost at its middle"));
+        }
+        if strain > self.strain || now >= self.strained + HOLD {
+            self.strain = strain;
+        }
         let harm = HARM * self.mean_target();
         let listed: f64 = self.snapshot.values().filter(|node| node.open).map(|node| node.listed).sum();
         let mut eased: f64 =
             self.snapshot.values().filter(|node| node.open).map(|node| node.listed * (1.0 - node.ease)).sum();
         let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE;
-        for node in self.snapshot.values_mut().filter(|node| node.open) {
+        for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
             let ease = match met {
                 Some((lost, _)) if lost > loss + FAILING => TRICKLE,
@@ -707,6 +742,11 @@
             if ease == node.ease || more > 0.0 && !gone && eased + more > listed * EASED_MOST {
                 continue;
             }
+            if ease < node.ease || ease == 1.0 {
+                let (lost, slow) = met.unwrap_or_default();
+                let part = 100.0 * ease;
+                orders.note(&format!("{id} to {part:.0}% of its weight: {lost:.2} lost, {slow:.2} s"));
+            }
             if ease < node.ease {
                 let wait = HOLD.0 << node.relapses.min(4);
                 node.held = now + Time(wait);
@@ -736,7 +776,9 @@
             .collect();
         let changed = buffer != self.buffer;
         self.buffer = buffer;
-        if self.buffer.is_empty() {
+        let strained = self.strain_set.is_some_and(|set| set != self.strain);
+        let changed = changed || strained && self.opened.is_none();
+        if self.buffer.is_empty() && !strained {
             self.opened = None;
         } else if changed {
             self.opened = self.opened.or(Some(self.now));
@@ -777,11 +819,15 @@
         let room = (half - self.channel.waiting) / bound.len().max(1) as f64 - self.mandate.message_head;
         let changes: Vec<(NodeId, f64)> = std::mem::take(&mut self.buffer).into_iter().collect();
         let mut fired = false;
-        if !self.tries_set {
-            self.tries_set = true;
+        if self.strain_set != Some(self.strain) {
+            self.strain_set = Some(self.strain);
             fired = true;
             self.set_tries(SHARED, orders);
-            (0..self.mandate.zones).for_each(|zone| self.set_tries(home_table(ZoneId(zone)), orders));
+            if !self.home_only().is_empty() {
+                (0..self.mandate.zones).for_each(|zone| self.set_tries(home_table(ZoneId(zone)), orders));
+            }
+            let lines = self.mandate.exchanges.len() as f64;
+            bound.iter().for_each(|proxy| self.book(*proxy, lines));
         }
         for (node, weight) in changes.into_iter().take((room.max(1.0)) as usize) {
             let lines = 1.0 + f64::from(u8::from(weight > 0.0 && self.withdrawn.contains(&node)));
@@ -913,6 +959,7 @@
             asks,
             self.flush_due().map(|due| if due > self.now { due } else { soon }),
             again,
+            judge,
             self.mark_due(),
         ];
         let Some(due) = due.into_iter().flatten().min() else {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,12 +1,20 @@
 //! What a host and the decision module say to each other: ids, times, the mandate that is read once at
 //! start, and [`Orders`], through which the module answers. No decision is taken here.
 
+use std::fmt::{self, Display, Formatter};
 use std::ops::{Add, Sub};
 
 /// A node of the service, as the roster names it. Nothing can be read from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct NodeId(pub [u8; 4], pub u16);
 
+impl Display for NodeId {
+    fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
+        let NodeId([a, b, c, d], port) = self;
+        write!(to, "{a}.{b}.{c}.{d}:{port}")
+    }
+}
+
 /// A proxy, which picks nodes by the tables it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ProxyId(pub u16);
