--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,13 +46,15 @@
 const SLOW: f64 = 1.4;
 /// Share of tries lost above the fleet's middle for which a node is eased, and is put on trial.
 const LOSSY: f64 = 0.1;
-const FAILING: f64 = 0.5;
+const FAILING: f64 = 0.8;
 /// Part of its weight that a node on trial keeps, and the least that one not failing keeps.
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
 /// Share of tries lost at the fleet's middle from which it is tense, and short of capacity.
 const TENSE: f64 = 0.06;
 const SHORT: f64 = 0.3;
+/// The least share of its weight that a node not failing keeps at one judgement.
+const CUT_MOST: f64 = 0.5;
 /// How much an eased node is raised at a time, when it is clear.
 const RAISE: f64 = 1.5;
 /// How long sums lag behind an order, beyond the way of a message and their own period.
@@ -61,7 +63,7 @@
 const HOLD: Time = Time::from_ms(4_000);
 /// Share of the listed weight that easing may take from the table; only nodes where nothing comes back
 /// may go beyond, since their part is lost either way.
-const EASED_MOST: f64 = 0.5;
+const EASED_MOST: f64 = 0.3;
 
 // ---- State ----
 
@@ -724,21 +726,24 @@
         let listed: f64 = self.snapshot.values().filter(|node| node.open).map(|node| node.listed).sum();
         let mut eased: f64 =
             self.snapshot.values().filter(|node| node.open).map(|node| node.listed * (1.0 - node.ease)).sum();
-        let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE;
+        // What was sent before a change, and what had queued by then, must have ended.
+        let target = Time::from_seconds(self.mean_target() * 2.0);
+        let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE + target;
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
             let ease = match met {
-                Some((lost, _)) if lost > loss + FAILING => TRICKLE,
-                Some((lost, _)) if lost > loss + LOSSY => (node.ease * 0.5).max(EASE_LEAST),
-                Some((_, slow)) if slow > harm && slow > time * SLOW => {
-                    (node.ease * (time / slow).max(0.25)).max(EASE_LEAST)
+                Some((lost, _)) if lost > FAILING => TRICKLE,
+                // What it still does well, it is left with.
+                Some((lost, slow)) if lost > loss + LOSSY || slow > harm && slow > time * SLOW => {
+                    let left = (1.0 - lost + loss) * (time / slow.max(time)).sqrt();
+                    (node.ease * left.clamp(CUT_MOST, 1.0)).max(EASE_LEAST)
                 }
                 None if node.ease > TRICKLE => node.ease,
                 _ if now >= node.held => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
                 _ => node.ease,
             };
             let more = node.listed * (node.ease - ease);
-            let gone = met.is_some_and(|(lost, _)| lost > 0.95);
+            let gone = met.is_some_and(|(lost, _)| lost > FAILING);
             if ease == node.ease || more > 0.0 && !gone && eased + more > listed * EASED_MOST {
                 continue;
             }
