--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,7 +46,9 @@
 const SLOW: f64 = 1.4;
 /// Share of tries lost above the fleet's middle for which a node is eased, and is put on trial.
 const LOSSY: f64 = 0.1;
-const FAILING: f64 = 0.8;
+const FAILING: f64 = 0.6;
+/// Part of the nodes that the better ones are, against which lost tries are judged.
+const BETTER: f64 = 0.2;
 /// Part of its weight that a node on trial keeps, and the least that one not failing keeps.
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
@@ -480,7 +482,9 @@
             let crowd = (10.0 * self.table.values().sum::<f64>() / listed).ceil().max(1.0) / 10.0;
             let warmth = f64::from(node.step) / f64::from(RAMP_STEPS);
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * warmth;
-            share = share.min(warmth * self.mandate.fall_multiple * FALL_MARGIN * crowd);
+            // An overload sends every node several times its work.
+            let strain = [1.0, 0.7, 0.35][self.strain as usize];
+            share = share.min(warmth * self.mandate.fall_multiple * FALL_MARGIN * crowd * strain);
         }
         node.listed * (share * node.ease).max(0.01)
     }
@@ -618,11 +622,11 @@
     }
 }
 
-/// The middle of some figures, 0 for none.
-fn middle(figures: impl Iterator<Item = f64>) -> f64 {
+/// The figure that a part of all stays under, 0 for none.
+fn quantile(figures: impl Iterator<Item = f64>, part: f64) -> f64 {
     let mut figures: Vec<f64> = figures.collect();
     figures.sort_by(f64::total_cmp);
-    figures.get(figures.len() / 2).copied().unwrap_or(0.0)
+    figures.get((figures.len() as f64 * part) as usize).copied().unwrap_or(0.0)
 }
 
 fn home_table(zone: ZoneId) -> TableId {
@@ -700,14 +704,13 @@
             return false;
         }
         self.judged = now;
-        let heard: Vec<(f64, f64)> = self
-            .snapshot
-            .values()
-            .filter(|node| node.open && node.ease >= 1.0)
-            .filter_map(|node| node.symptoms(now))
-            .collect();
-        let (loss, time) = (middle(heard.iter().map(|h| h.0)), middle(heard.iter().map(|h| h.1)));
-        let worst = middle(self.snapshot.values().filter_map(|node| node.symptoms(now)).map(|met| met.0));
+        let heard: Vec<(f64, f64)> =
+            self.snapshot.values().filter(|node| node.open).filter_map(|node| node.symptoms(now)).collect();
+        let losses = || heard.iter().map(|heard| heard.0);
+        // Against the better ones: a conductor cut off with a few nodes sees most fail, and is right.
+        let loss = quantile(losses(), BETTER);
+        let time = quantile(heard.iter().map(|heard| heard.1), 0.5);
+        let worst = quantile(losses(), 0.5);
         let strain = match worst {
             lost if lost > SHORT => Strain::Short,
             lost if lost > TENSE => Strain::Tense,
@@ -732,7 +735,7 @@
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
             let ease = match met {
-                Some((lost, _)) if lost > FAILING => TRICKLE,
+                Some((lost, _)) if lost > loss + FAILING => TRICKLE,
                 // What it still does well, it is left with.
                 Some((lost, slow)) if lost > loss + LOSSY || slow > harm && slow > time * SLOW => {
                     let left = (1.0 - lost + loss) * (time / slow.max(time)).sqrt();
@@ -743,7 +746,7 @@
                 _ => node.ease,
             };
             let more = node.listed * (node.ease - ease);
-            let gone = met.is_some_and(|(lost, _)| lost > FAILING);
+            let gone = met.is_some_and(|(lost, _)| lost > loss + FAILING);
             if ease == node.ease || more > 0.0 && !gone && eased + more > listed * EASED_MOST {
                 continue;
             }
