--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,7 +46,7 @@
 const SLOW: f64 = 1.4;
 /// Share of tries lost above the fleet's middle for which a node is eased, and is put on trial.
 const LOSSY: f64 = 0.1;
-const FAILING: f64 = 0.6;
+const FAILING: f64 = 0.85;
 /// Part of the nodes that the better ones are, against which lost tries are judged.
 const BETTER: f64 = 0.2;
 /// Part of its weight that a node on trial keeps, and the least that one not failing keeps.
@@ -56,9 +56,9 @@
 const TENSE: f64 = 0.06;
 const SHORT: f64 = 0.3;
 /// The least share of its weight that a node not failing keeps at one judgement.
-const CUT_MOST: f64 = 0.5;
+const CUT_MOST: f64 = 0.3;
 /// How much an eased node is raised at a time, when it is clear.
-const RAISE: f64 = 1.5;
+const RAISE: f64 = 2.0;
 /// How long sums lag behind an order, beyond the way of a message and their own period.
 const HEARD_LATE: Time = Time::from_ms(1_000);
 /// Wait of an eased node before it is raised, doubled by each relapse up to 16 times.
@@ -731,14 +731,14 @@
             self.snapshot.values().filter(|node| node.open).map(|node| node.listed * (1.0 - node.ease)).sum();
         // What was sent before a change, and what had queued by then, must have ended.
         let target = Time::from_seconds(self.mean_target() * 2.0);
-        let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE + target;
+        let lag = self.mandate.way + self.mandate.sums_period + HEARD_LATE;
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
             let ease = match met {
                 Some((lost, _)) if lost > loss + FAILING => TRICKLE,
                 // What it still does well, it is left with.
-                Some((lost, slow)) if lost > loss + LOSSY || slow > harm && slow > time * SLOW => {
-                    let left = (1.0 - lost + loss) * (time / slow.max(time)).sqrt();
+                Some((lost, slow)) if lost > worst + LOSSY || slow > harm && slow > time * SLOW => {
+                    let left = (1.0 - lost + worst) * (time / slow.max(time)).sqrt();
                     (node.ease * left.clamp(CUT_MOST, 1.0)).max(EASE_LEAST)
                 }
                 None if node.ease > TRICKLE => node.ease,
@@ -758,13 +758,14 @@
             if ease < node.ease {
                 let wait = HOLD.0 << node.relapses.min(4);
                 node.held = now + Time(wait);
+                node.blind = now + lag + target;
                 node.relapses += 1;
             } else {
                 node.held = now + lag;
+                node.blind = now + lag;
             }
             eased += more;
             node.ease = ease;
-            node.blind = now + lag;
             (node.tries, node.lost, node.time) = Default::default();
         }
         true
