--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,6 +57,8 @@
 const SHORT: f64 = 0.3;
 /// The least share of its weight that a node not failing keeps at one judgement.
 const CUT_MOST: f64 = 0.3;
+/// How near the fleet's middle, or half of what harms, a node's time must be for it to be raised.
+const CLEAR: f64 = 1.15;
 /// How much an eased node is raised at a time, when it is clear.
 const RAISE: f64 = 2.0;
 /// How long sums lag behind an order, beyond the way of a message and their own period.
@@ -108,6 +110,7 @@
     /// Until then it is not raised; each relapse doubles the wait.
     held: Time,
     relapses: u32,
+    raised: bool,
 }
 
 struct Proxy {
@@ -437,6 +440,7 @@
             blind: Time::default(),
             held: Time::default(),
             relapses: 0,
+            raised: false,
         });
         if entry.standing != Standing::Gone {
             if entry.started > node.started {
@@ -742,8 +746,11 @@
                     (node.ease * left.clamp(CUT_MOST, 1.0)).max(EASE_LEAST)
                 }
                 None if node.ease > TRICKLE => node.ease,
-                _ if now >= node.held => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
-                _ => node.ease,
+                _ if now < node.held => node.ease,
+                // Back at the fleet's pace it returns fast; one that is merely small settles short of harm.
+                Some((_, slow)) if slow > time * CLEAR && slow > harm * CLEAR / 2.0 => node.ease,
+                Some((_, slow)) if slow > time * CLEAR => (node.ease * RAISE.sqrt()).clamp(EASE_LEAST, 1.0),
+                _ => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
             };
             let more = node.listed * (node.ease - ease);
             let gone = met.is_some_and(|(lost, _)| lost > loss + FAILING);
@@ -759,10 +766,12 @@
                 let wait = HOLD.0 << node.relapses.min(4);
                 node.held = now + Time(wait);
                 node.blind = now + lag + target;
-                node.relapses += 1;
+                node.relapses += u32::from(node.raised);
+                node.raised = false;
             } else {
                 node.held = now + lag;
                 node.blind = now + lag;
+                node.raised = true;
             }
             eased += more;
             node.ease = ease;
