--- a/src/balance.rs
+++ b/src/balance.rs
@@ -35,11 +35,11 @@
 /// Share of the stated pace below which the channel is never believed to be.
 const PACE_FLOOR: f64 = 0.05;
 /// Time in which what was heard of a node fades to a third: a few gatherings of sums.
-const MEMORY: Time = Time::from_ms(2_000);
+const MEMORY: Time = Time::from_ms(3_000);
 /// How often nodes are judged: sums come about as often.
 const JUDGE_PERIOD: Time = Time::from_ms(500);
 /// Tries (count) that must have ended lately at a node for its judgement.
-const EVIDENCE: f64 = 3.0;
+const EVIDENCE: f64 = 8.0;
 /// Mean time at a node, as a share of the mean target time, from which its slowness does harm.
 const HARM: f64 = 0.5;
 /// How many times slower than the fleet's middle a harmed node is when it is eased.
@@ -56,11 +56,11 @@
 const TENSE: f64 = 0.06;
 const SHORT: f64 = 0.3;
 /// The least share of its weight that a node not failing keeps at one judgement.
-const CUT_MOST: f64 = 0.3;
+const CUT_MOST: f64 = 0.6;
 /// How near the fleet's middle, or half of what harms, a node's time must be for it to be raised.
 const CLEAR: f64 = 1.15;
 /// How much an eased node is raised at a time, when it is clear.
-const RAISE: f64 = 2.0;
+const RAISE: f64 = 1.5;
 /// How long sums lag behind an order, beyond the way of a message and their own period.
 const HEARD_LATE: Time = Time::from_ms(1_000);
 /// Wait of an eased node before it is raised, doubled by each relapse up to 16 times.
