--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -5,9 +5,7 @@
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::{Buf, TryGetError};
 use oatpitch::Balance;
-use oatpitch::interface::{
-    Asked, ClassId, Listing, Met, NodeId, PeerId, ProxyId, Standing, TableId, Time, ZoneId,
-};
+use oatpitch::interface::{Asked, ClassId, Listing, Met, NodeId, ProxyId, Standing, TableId, Time, ZoneId};
 
 use crate::US;
 use crate::mandate;
@@ -156,11 +154,10 @@
                 hosted.balance.left(now, proxy, &mut pen);
             }
             5 => {
-                let peer = PeerId(from.u32()?);
-                let length = from.u16()?;
-                let message = from.bytes(length.into())?;
+                let (_peer, length) = (from.u32()?, from.u16()?);
+                from.bytes(length.into())?;
                 from.end()?;
-                hosted.balance.peer_said(now, peer, message, &mut pen);
+                hosted.balance.rang(now, &mut pen);
             }
             6 => {
                 let (proxy, mark, took) = (ProxyId(from.u16()?), from.u64()?, from.span()?);
@@ -169,10 +166,10 @@
                 hosted.balance.acknowledged(now, proxy, mark, took, &mut pen);
             }
             7 => {
-                let (proxy, zone, rate, fresh) =
+                let (proxy, zone, _rate, fresh) =
                     (ProxyId(from.u16()?), hosted.zone(from)?, from.f32()?, from.flag()?);
                 from.end()?;
-                hosted.balance.joined(now, proxy, zone, rate.into(), fresh, &mut pen);
+                hosted.balance.joined(now, proxy, zone, fresh, &mut pen);
             }
             8 => {
                 from.end()?;
@@ -202,9 +199,9 @@
             }
             14 => digest(hosted, from, now, &mut pen)?,
             15 => {
-                let ring = from.u64()?;
+                from.u64()?;
                 from.end()?;
-                hosted.balance.rang(now, ring, &mut pen);
+                hosted.balance.rang(now, &mut pen);
             }
             other => bail!("unknown code {other}"),
         }
@@ -282,9 +279,9 @@
 }
 
 fn status_back(hosted: &mut Hosted, from: &mut Fields, now: Time, pen: &mut Pen) -> Result<()> {
-    let (result, took, node, _report) =
-        (from.u8()?, from.span()?, from.node()?, from.report(hosted.columns)?);
+    let (_result, _took, _node) = (from.u8()?, from.span()?, from.node()?);
+    from.report(hosted.columns)?;
     from.end()?;
-    hosted.balance.probed(now, node, result == 1, took, pen);
+    hosted.balance.rang(now, pen);
     Ok(())
 }
--- a/crates/wirehost/src/mandate.rs
+++ b/crates/wirehost/src/mandate.rs
@@ -88,6 +88,7 @@
         messages_span: at.time("specifics.update_window_us")?,
         way: at.time("specifics.push_delay_us")?,
         way_longest: at.time("specifics.push_delay_max_us")?,
+        strikes: at.value("specifics.strikes")?,
         bare: at.time("specifics.blackhole_us")?,
         grace: at.time("guarantees.stop_sending_within_us")?,
         dropped_may_stay: at.0.contains_key(stays) && at.choice(stays, &YES_NO)?,
@@ -109,7 +110,6 @@
 
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
     let count: u16 = at.value("classes.count")?;
-    let mut home = at.list("specifics.home_only")?;
     (0..count)
         .map(|k| {
             let key = |name: &str| format!("classes.{k}.{name}");
@@ -130,11 +130,6 @@
                 cut_off: at.time(&key("deadline_us"))?,
                 gain: at.figure(&key("worth"))?,
                 repeat,
-                home_only: match home.next() {
-                    Some("true") => true,
-                    Some("false") => false,
-                    other => bail!("settings: specifics.home_only has {other:?} for class {k}"),
-                },
             })
         })
         .collect()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,7 +28,7 @@
 pub struct ClassId(pub u16);
 
 /// A zone, by its place in the mandate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
 /// Another conductor of the same tier.
@@ -68,17 +68,13 @@
     }
 }
 
-/// A set of classes, bit k for class k.
+/// A set of classes, bit k for class k; none named means all.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Classes(pub u16);
 
 impl Classes {
-    pub fn add(&mut self, class: ClassId) {
-        self.0 |= 1u16.checked_shl(class.0.into()).unwrap_or(0);
-    }
-
-    pub fn is_empty(self) -> bool {
-        self.0 == 0
+    pub fn of(class: ClassId) -> Classes {
+        Classes(1u16.checked_shl(class.0.into()).unwrap_or(0))
     }
 }
 
@@ -108,8 +104,6 @@
     pub cut_off: Time,
     pub gain: f64,
     pub repeat: Repeat,
-    /// It may only go to nodes of the proxy's own zone.
-    pub home_only: bool,
 }
 
 /// What proxies do with a level.
@@ -166,6 +160,8 @@
     /// Mean and longest way of a message from the channel to a proxy.
     pub way: Time,
     pub way_longest: Time,
+    /// Own tries failed in a row for which a proxy keeps away from a node for a while; 0 for no such habit.
+    pub strikes: u32,
     /// How long a joined proxy may lack a line.
     pub bare: Time,
     /// How long proxies may go on sending to a node told as draining or gone.
