--- a/src/balance.rs
+++ b/src/balance.rs
@@ -75,10 +75,10 @@
 /// How long sums lag behind an order, beyond the way of a message and their own period.
 const HEARD_LATE: Time = Time::from_ms(1_000);
 /// Share of tries lost from which the fleet is tense, and short of capacity.
-const TENSE: f64 = 0.06;
+const TENSE: f64 = 0.03;
 const SHORT: f64 = 0.3;
 /// The same for its mean time, as a share of the mean target time.
-const TENSE_TIME: f64 = 0.5;
+const TENSE_TIME: f64 = 0.22;
 const SHORT_TIME: f64 = 0.8;
 /// The least share of a class that is let in, the least of the work let in that one cut leaves, and how many
 /// times as much is let in at a time when the fleet keeps up again.
@@ -860,7 +860,7 @@
                 self.fleet.levelled = self.fleet.levelled + self.outlived();
                 Some(let_in * (1.0 - lost).clamp(LEVEL_CUT, 0.9))
             }
-            _ if lost > SHORT / 2.0 || time > TENSE_TIME * self.mean_target() => capacity,
+            _ if lost > SHORT / 2.0 || time > HARM * self.mean_target() => capacity,
             _ => capacity.map(|capacity| capacity * LEVEL_RAISE).filter(|capacity| *capacity < wanted),
         };
         self.fleet.jammed = time;
