A conductor that starts over takes the fleet to fall short until it hears

Told from a wrong ramp by the proxies' attempts per exchange jumping from 0.33 to 1.82 at the rebirth. Change: proxies that come with a table of an earlier life within 4 s of a birth make the strain Short until sums are heard; levels are cut on what is heard alone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,7 +29,7 @@
 /// twice its true part, and a fleet can be short of nodes.
 const FALL_MARGIN: f64 = 0.4;
 /// The same, as a share of that, for each strain: an overload sends a node several times its work.
-const FALL_STRAIN: [f64; 3] = [1.0, 0.7, 0.35];
+const FALL_STRAIN: [f64; 3] = [1.0, 0.6, 0.25];
 /// Warmth, as a share of a node's usual work, from which it bears what proxies keep from all others.
 const BEARS: f64 = 0.7;
 /// The least share of its weight at which a line stands: below it a node would hardly be heard of.
@@ -259,6 +259,7 @@
 pub struct Balance {
     mandate: Mandate,
     now: Time,
+    born: Time,
     chance: Chance,
     /// The listed nodes, and those told as draining or gone until they come back.
     snapshot: BTreeMap<NodeId, Node>,
@@ -302,6 +303,7 @@
         let amounts = vec![ALL_IN; mandate.exchanges.len()];
         let mut balance = Balance {
             now,
+            born: now,
             // The low word must not be 0, nor the carry reach the multiplier.
             chance: Chance((seed >> 33 << 32) | (seed & 0xffff_ffff) | 1),
             snapshot: BTreeMap::new(),
@@ -358,6 +360,11 @@
         let bound = self.sliced();
         let met = Proxy { zone, joined: now, fresh, bound, demand, written: VecDeque::new() };
         self.proxies.insert(proxy, met);
+        // Starting over: the proxy comes with a table of an earlier life, which may have held back much. Until
+        // something is heard, the fleet is taken to fall short.
+        if !fresh && now < self.born + HOLD {
+            (self.fleet.strain, self.fleet.strained) = (Strain::Short, now);
+        }
         self.settle(now, orders);
     }
 
@@ -853,15 +860,17 @@
         let (lost, time) = self.fleet.met.read(self.now);
         let capacity = self.fleet.capacity;
         let let_in = capacity.unwrap_or(wanted).min(wanted);
+        let fine = lost <= SHORT / 2.0 && time <= HARM * self.mean_target();
         self.fleet.capacity = match self.fleet.strain {
+            _ if fine => {
+                capacity.map(|capacity| capacity * LEVEL_RAISE).filter(|capacity| *capacity < wanted)
+            }
             // A jam that already clears up is left to.
-            Strain::Short if time < self.fleet.jammed => capacity,
-            Strain::Short => {
+            Strain::Short if time >= self.fleet.jammed => {
                 self.fleet.levelled = self.fleet.levelled + self.outlived();
                 Some(let_in * (1.0 - lost).clamp(LEVEL_CUT, 0.9))
             }
-            _ if lost > SHORT / 2.0 || time > HARM * self.mean_target() => capacity,
-            _ => capacity.map(|capacity| capacity * LEVEL_RAISE).filter(|capacity| *capacity < wanted),
+            _ => capacity,
         };
         self.fleet.jammed = time;
         if let Some(capacity) = self.fleet.capacity {
