--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,6 +38,8 @@
 /// answer, or an acknowledgement beyond its longest way, is waited for.
 const ASK_WAIT: Time = Time::from_ms(250);
 const PATIENCE: Time = Time::from_ms(5_000);
+/// Wait of an acknowledgement that a proxy standing still explains as well as a slow channel does.
+const STALL: Time = Time::from_ms(500);
 /// Share of the stated pace below which the channel is never believed to be.
 const PACE_FLOOR: f64 = 0.05;
 /// Time in which what was heard fades to a third, in ms: of a node or a proxy, for which a few gatherings
@@ -83,6 +85,8 @@
 /// The least share of a class that is let in, the least of the work let in that one cut leaves, and how many
 /// times as much is let in at a time when the fleet keeps up again.
 const LEVEL_LEAST: f64 = 0.1;
+/// Exchanges a second of a class that a proxy lets in at the least: demand unheard of is no reason to refuse.
+const RATE_LEAST: f64 = 1.0;
 const LEVEL_CUT: f64 = 0.7;
 const LEVEL_RAISE: f64 = 1.25;
 
@@ -191,17 +195,10 @@
     pace: f64,
     /// Proxies that this turn writes to.
     written: BTreeSet<ProxyId>,
-    /// The number of the last mark, and the one that is waited for.
+    /// The number of the last mark, what was queued with it, and since when no proxy has answered it.
     marks: u16,
-    mark: Option<Mark>,
-}
-
-/// An acknowledgement that is waited for.
-struct Mark {
-    at: Time,
     queued: f64,
-    owed: usize,
-    late: bool,
+    asked: Option<Time>,
 }
 
 /// How far the fleet as a whole falls short: further tries feed an overload.
@@ -311,7 +308,7 @@
             withdrawn: BTreeSet::new(),
             withdrew: None,
             proxies: BTreeMap::new(),
-            channel: Channel { waiting: 0.0, at: now, pace, written, marks: 0, mark: None },
+            channel: Channel { waiting: 0.0, at: now, pace, written, marks: 0, queued: 0.0, asked: None },
             fleet: Fleet { judged: now, strained: now, levelled: now, amounts, ..Fleet::default() },
             watch: if mandate.roster_asked { Watch::Due(now) } else { Watch::Standing },
             failures: 0,
@@ -396,21 +393,14 @@
     }
 
     pub fn acknowledged(&mut self, now: Time, _proxy: ProxyId, mark: u16, took: Time, orders: To) {
-        let channel = &mut self.channel;
-        if let Some(owed) = channel.mark.as_mut().filter(|_| mark == channel.marks) {
-            owed.owed = owed.owed.saturating_sub(1);
-            // A slower channel shows as a wait that its stated pace does not explain.
+        let (usual, channel) = (self.mandate.channel_pace, &mut self.channel);
+        if mark == channel.marks {
+            channel.asked = None;
+            // A slower channel shows as a wait that what had queued does not explain, nor a proxy's stall.
             let waited = (took - self.mandate.way_longest).seconds();
-            if waited > owed.queued / channel.pace {
-                owed.late = true;
-                channel.pace = (owed.queued / waited).max(self.mandate.channel_pace * PACE_FLOOR);
-            }
-            if owed.owed == 0 {
-                if !owed.late {
-                    channel.pace = (channel.pace * 1.5).min(self.mandate.channel_pace);
-                }
-                channel.mark = None;
-            }
+            let due = channel.queued + usual * STALL.seconds();
+            let seen = if waited * channel.pace > due { due / waited } else { channel.pace * 1.1 };
+            channel.pace = seen.clamp(usual * PACE_FLOOR, usual);
         }
         self.settle(now, orders);
     }
@@ -609,11 +599,16 @@
         self.snapshot.values().all(|node| node.zone != zone || node.barred)
     }
 
+    /// The table has no line that proxies may use.
+    fn bare(&self) -> bool {
+        self.table.lines.keys().all(|id| self.withdrawn.contains(id))
+    }
+
     /// When the next flush may go, if anything waits for one.
     fn flush_due(&self) -> Option<Time> {
         let waits = self.proxies.values().filter(|proxy| !proxy.bound).map(|proxy| proxy.joined).min();
         let opened = self.table.opened.into_iter().chain(waits).min()?;
-        let paced = self.mandate.message_pace(FLUSH_SHARE);
+        let paced = self.mandate.message_pace(if self.bare() { 1.0 } else { FLUSH_SHARE });
         let paced = self.table.flushed.map_or(Time::default(), |at| at + paced);
         let full = self.table.buffer.len() >= FLUSH_COUNT;
         Some(if full { paced } else { paced.max(opened + FLUSH_PERIOD) })
@@ -647,7 +642,7 @@
     for (k, rate) in rates.iter().enumerate() {
         let each = left / (rates.len() - k) as f64;
         if *rate >= each {
-            return each;
+            return each.max(RATE_LEAST);
         }
         left -= rate;
     }
@@ -679,34 +674,29 @@
     }
 
     fn lay_line(&mut self, id: NodeId, weight: f64, orders: To) {
-        orders.line(SHARED, id, weight);
-        if weight <= 0.0 {
-            self.table.lines.remove(&id);
-        } else if self.table.lines.insert(id, weight).is_none() && self.withdrawn.remove(&id) {
+        let former = match weight > 0.0 {
+            true => self.table.lines.insert(id, weight),
+            false => self.table.lines.remove(&id),
+        };
+        if former != Some(weight) {
+            orders.line(SHARED, id, weight);
+        }
+        if weight > 0.0 && self.withdrawn.remove(&id) {
             orders.withdraw(id, false);
         }
     }
 
-    /// Flushes carry a mark while none is owed, so that a slower channel is noticed. One that most have owed
-    /// for too long tells the same.
+    /// Flushes carry a mark while none is owed, so that a slower channel is noticed.
     fn ask_mark(&mut self, orders: To) {
         let (written, channel) = (self.channel.written.clone(), &mut self.channel);
-        if let Some(mark) = &channel.mark {
-            let wait = Time::from_seconds(mark.queued / channel.pace) + self.mandate.way_longest + PATIENCE;
-            if self.now < mark.at + wait {
-                return;
-            }
-            if mark.owed * 2 > self.proxies.len() {
-                channel.pace = (channel.pace / 2.0).max(self.mandate.channel_pace * PACE_FLOOR);
-            }
-        }
-        if !written.is_empty() {
-            channel.marks = channel.marks.wrapping_add(1);
-            orders.mark(channel.marks, false);
-            let (at, queued, owed) = (self.now, channel.waiting, written.len());
-            channel.mark = Some(Mark { at, queued, owed, late: false });
-            written.into_iter().for_each(|proxy| self.book(proxy, 1.0));
+        let overdue = |at| self.now > at + self.mandate.way_longest + PATIENCE;
+        if written.is_empty() || channel.asked.is_some_and(|at| !overdue(at)) {
+            return;
         }
+        channel.marks = channel.marks.wrapping_add(1);
+        (channel.queued, channel.asked) = (channel.waiting, Some(self.now));
+        orders.mark(channel.marks, false);
+        written.into_iter().for_each(|proxy| self.book(proxy, 1.0));
     }
 }
 
@@ -734,8 +724,10 @@
         let barred = self.snapshot.iter().filter(|(id, node)| node.barred && !self.withdrawn.contains(id));
         let barred: Vec<NodeId> = barred.map(|(id, _)| *id).collect();
         let pace = self.mandate.message_pace(1.0 - FLUSH_SHARE);
+        let lines = (self.mandate.message_head + barred.len() as f64) * self.proxies.len() as f64;
         let held = self.withdrew.is_some_and(|at| self.now < at + pace)
-            || !self.proxies.values().all(|proxy| self.mandate.may_write(proxy, 1.0, self.now));
+            || !self.proxies.values().all(|proxy| self.mandate.may_write(proxy, 1.0, self.now))
+            || self.channel.waiting + lines > self.mandate.backlog;
         if barred.is_empty() || held {
             return false;
         }
@@ -898,9 +890,13 @@
         if self.sliced() {
             return false;
         }
-        let standing = |id: &NodeId| self.table.lines.get(id).copied().unwrap_or(0.0);
+        // A node that was withdrawn and is back before its line was taken out must be let in again, too.
+        let differs = |(id, weight): &(NodeId, f64)| {
+            self.table.lines.get(id).copied().unwrap_or(0.0) != *weight
+                || *weight > 0.0 && self.withdrawn.contains(id)
+        };
         let wanted = self.snapshot.iter().map(|(id, node)| (*id, self.weight(node)));
-        let buffer: BTreeMap<NodeId, f64> = wanted.filter(|(id, weight)| standing(id) != *weight).collect();
+        let buffer: BTreeMap<NodeId, f64> = wanted.filter(differs).collect();
         let levels = !self.table.levels.is_empty() && self.table.levels != self.wanted_levels();
         let opened = (levels || !buffer.is_empty()).then(|| self.table.opened.unwrap_or(self.now));
         let changed = buffer != self.table.buffer || opened != self.table.opened;
@@ -927,8 +923,10 @@
     /// The period has passed or the count is reached, and the channel is at most half full: the gathered
     /// changes go to every bound proxy as one message, with as many binds as fit under half the backlog.
     fn flush(&mut self, orders: To) -> bool {
-        let (half, now) = (self.mandate.backlog * FLUSH_SHARE, self.now);
-        let may = |proxy: &Proxy| self.mandate.may_write(proxy, FLUSH_SHARE, now);
+        // Rule 1: where no line is left to pick, what is kept for withdrawals serves to lay one.
+        let share = if self.bare() { 1.0 } else { FLUSH_SHARE };
+        let (half, room, now) = (self.mandate.backlog * FLUSH_SHARE, self.mandate.backlog * share, self.now);
+        let may = |proxy: &Proxy| self.mandate.may_write(proxy, share, now);
         let due = self.flush_due().is_some_and(|due| now >= due);
         let full =
             self.channel.waiting > half || self.proxies.values().any(|proxy| proxy.bound && !may(proxy));
@@ -944,19 +942,24 @@
         let bound: Vec<ProxyId> =
             self.proxies.iter().filter(|(_, proxy)| proxy.bound).map(|(id, _)| *id).collect();
         let mut fired = false;
-        let levels = self.wanted_levels();
-        if levels != self.table.levels {
+        // Lines that each bound proxy's message has room for, its head and mark aside.
+        let room = (room - self.channel.waiting) / bound.len().max(1) as f64 - self.mandate.message_head;
+        let (mut room, levels) = (room - 1.0, self.wanted_levels());
+        let cost = levels.len() as f64;
+        if levels != self.table.levels && cost <= room {
             for (class, (tries, amount)) in levels.iter().enumerate() {
                 orders.level(Some(SHARED), Classes::of(ClassId(class as u16)), *tries, *amount);
             }
-            bound.iter().for_each(|proxy| self.book(*proxy, levels.len() as f64));
-            self.table.levels = levels;
-            fired = true;
+            bound.iter().for_each(|proxy| self.book(*proxy, cost));
+            (self.table.levels, fired, room) = (levels, true, room - cost);
         }
-        let room = (half - self.channel.waiting) / bound.len().max(1) as f64 - self.mandate.message_head;
-        for (node, weight) in std::mem::take(&mut self.table.buffer).into_iter().take(room.max(1.0) as usize)
-        {
+        // A change that does not fit is gathered again.
+        for (node, weight) in std::mem::take(&mut self.table.buffer) {
             let lines = if weight > 0.0 && self.withdrawn.contains(&node) { 2.0 } else { 1.0 };
+            room -= lines;
+            if room < 0.0 {
+                break;
+            }
             self.lay_line(node, weight, orders);
             bound.iter().for_each(|proxy| self.book(*proxy, lines));
             fired = true;
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,240 @@
+//! A slow, plain model of the rules beside the module on generated inputs: both must agree on what is allowed.
+
+mod helpers;
+
+use helpers::*;
+use oatpitch::Balance;
+use oatpitch::interface::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+const PROXIES: u16 = 12;
+
+/// A generated mandate and what happens under it. Numbers are cut to what they can mean when played.
+#[derive(Clone, Debug)]
+struct Day {
+    mandate: [u8; 6],
+    happens: Vec<(u8, u8, u16)>,
+}
+
+impl Arbitrary for Day {
+    fn arbitrary(g: &mut Gen) -> Day {
+        let mandate = std::array::from_fn(|_| u8::arbitrary(g));
+        Day { mandate, happens: (0..u8::arbitrary(g)).map(|_| Arbitrary::arbitrary(g)).collect() }
+    }
+}
+
+/// What the roster last told of a node, by the model's own books.
+#[derive(Clone, Copy, Default)]
+struct Told {
+    listed: bool,
+    weight: f64,
+    open_at: Option<Time>,
+    barred_at: Option<Time>,
+    started: Option<Time>,
+    started_told: Time,
+}
+
+struct Play {
+    mandate: Mandate,
+    world: World,
+    balance: Balance,
+    told: [Told; 8],
+    bare_since: Option<Time>,
+    /// When the conductor last came back from standing still: what is allowed counts from there.
+    awake: Time,
+}
+
+impl Play {
+    fn new([levels, limited, stays, asked, small, zones]: [u8; 6]) -> Play {
+        let mut mandate = mandate();
+        mandate.levels = [LevelKind::Rate, LevelKind::Share, LevelKind::Ignored][usize::from(levels % 3)];
+        mandate.messages_most = if limited % 2 == 0 { 0 } else { 20 };
+        mandate.dropped_may_stay = stays % 4 == 0;
+        mandate.roster_asked = asked % 3 == 0;
+        // What can't be put off fits twice for all proxies, as the page promises, and little more.
+        if small % 2 == 0 {
+            (mandate.backlog, mandate.channel_pace) = (450.0, 150.0);
+        }
+        mandate.zones = u16::from(zones % 2) + 1;
+        let mut world = World::default();
+        world.now = Time(50_000);
+        let balance = Balance::begin(world.now, mandate.clone(), u64::from(zones), &mut world);
+        Play { mandate, world, balance, told: Default::default(), bare_since: None, awake: Time(50_000) }
+    }
+
+    fn roster(&mut self, entries: &[Listing], whole: bool) {
+        let now = self.world.now;
+        let stays = self.mandate.dropped_may_stay;
+        for entry in entries {
+            self.world.known.insert(entry.node);
+            let told = &mut self.told[usize::from(entry.node.0[3])];
+            let bars = match entry.standing {
+                Standing::Ready => false,
+                Standing::Draining => true,
+                Standing::Gone => !stays,
+            };
+            told.listed = entry.standing == Standing::Ready;
+            told.open_at = told.listed.then(|| told.open_at.unwrap_or(now));
+            let odd = !entry.weight.is_finite() || entry.weight <= 0.0;
+            told.weight = if odd { 1.0 } else { entry.weight };
+            told.barred_at = bars.then(|| told.barred_at.unwrap_or(now));
+            told.started_told = now;
+            told.started = if told.listed { entry.started.max(told.started) } else { told.started };
+        }
+        if whole {
+            let named = |k: usize| entries.iter().any(|entry| usize::from(entry.node.0[3]) == k);
+            for (k, told) in self.told.iter_mut().enumerate().filter(|(k, _)| !named(*k)) {
+                (told.listed, told.open_at) = (false, None);
+                if self.world.known.contains(&node(k as u8)) && !stays {
+                    told.barred_at = told.barred_at.or(Some(now));
+                }
+            }
+            self.balance.roster_whole(now, entries, false, &mut self.world);
+        } else {
+            self.balance.roster_changed(now, entries, &mut self.world);
+        }
+    }
+
+    fn happen(&mut self, (what, which, how): (u8, u8, u16)) {
+        let (now, proxy) = (self.world.now, ProxyId(u16::from(which) % PROXIES));
+        let k = which % 8;
+        match what % 12 {
+            0 | 1 => {
+                let standing = [Standing::Ready, Standing::Draining, Standing::Gone][usize::from(how % 3)];
+                let started = (how % 2 == 0).then_some(now - ms(u64::from(how)));
+                let weight = [1.0, 0.0, -1.0, f64::NAN, 2.0, f64::INFINITY][usize::from(how % 6)];
+                self.roster(&[Listing { weight, ..listing(k, standing, started) }], false);
+            }
+            2 => {
+                let entries: Vec<Listing> = (0..8).filter(|k| how >> k & 1 == 1).map(ready).collect();
+                self.roster(&entries, true);
+            }
+            3 => self.balance.roster_failed(now, &mut self.world),
+            // One proxy joins, or all do at once.
+            4 | 5 => {
+                let joins = if what % 12 == 4 { proxy.0..proxy.0 + 1 } else { 0..PROXIES };
+                for proxy in joins.map(ProxyId) {
+                    self.world.joined.insert(proxy, now);
+                    self.world.bound.remove(&proxy);
+                    self.world.written.remove(&proxy);
+                    let zone = ZoneId(proxy.0 % 2);
+                    self.balance.joined(now, proxy, zone, how % 2 == 0, &mut self.world);
+                }
+            }
+            6 => {
+                self.world.joined.remove(&proxy);
+                self.world.bound.remove(&proxy);
+                self.balance.left(now, proxy, &mut self.world);
+            }
+            7 | 8 => {
+                // Sums that contradict themselves among them: more lost than tried, no span, odd reports.
+                let (tries, lost) = (u32::from(how % 40), u32::from(how / 40 % 50));
+                let report = [f32::NAN, -1.0];
+                let (span, mean) = (ms(u64::from(how % 2) * 1_000), ms(u64::from(how)));
+                let met = Met { node: node(k), zone: ZoneId(0), span, tries, lost, mean, report: &report };
+                self.balance.met(now, &met, &mut self.world);
+            }
+            9 => {
+                let (class, exchanges) = (ClassId(how % 6), u32::from(how));
+                let asked = Asked { proxy: Some(proxy), class, exchanges, lost: exchanges + 1, span: ms(0) };
+                self.balance.asked(now, &asked, &mut self.world);
+            }
+            10 => self.balance.acknowledged(now, proxy, how % 8, ms(u64::from(how % 900)), &mut self.world),
+            _ => {}
+        }
+        // Mostly short waits on which alarms ring in time, at times a clock that stands or jumps.
+        match how % 16 {
+            0 => {}
+            1 => {
+                self.wait(ms(4_000), ms(4_000));
+                self.awake = self.world.now;
+            }
+            _ => self.wait(ms(u64::from(how % 700)), ms(25)),
+        }
+    }
+
+    fn wait(&mut self, span: Time, step: Time) {
+        let end = self.world.now + span;
+        while self.world.now < end {
+            // All that happens at one time is one turn.
+            self.close();
+            self.world.pass(step, &self.mandate);
+            let now = self.world.now;
+            if self.world.alarms.first().is_some_and(|at| *at <= now) {
+                self.world.alarms.retain(|at| *at > now);
+                self.balance.rang(now, &mut self.world);
+                if step <= ms(25) {
+                    self.check_times();
+                }
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        self.world.close(&self.mandate);
+        assert!(self.world.waiting <= self.mandate.backlog, "rule 5: {} lines wait", self.world.waiting);
+        for times in self.world.written.values().filter(|_| self.mandate.messages_most > 0) {
+            let late = times.iter().filter(|at| **at + self.mandate.messages_span > self.world.now).count();
+            assert!(late <= self.mandate.messages_most as usize, "rule 5: {late} messages");
+        }
+        // Rule 2: the classes' kinds, as the helper lays them down, allow these and no more.
+        let scoped = if self.mandate.zones == 1 { FurtherTries::One } else { FurtherTries::IfNeverRan };
+        let allowed = [FurtherTries::One, FurtherTries::One, scoped, FurtherTries::IfNeverRan];
+        for (classes, tries) in &self.world.tries {
+            let allowed = allowed[classes.trailing_zeros() as usize];
+            assert!(
+                *tries == allowed || matches!(tries, FurtherTries::None | FurtherTries::IfNeverRan),
+                "rule 2: {tries:?} for {classes:b}"
+            );
+        }
+        assert_eq!(self.world.repeated, 0, "only changes are pushed");
+    }
+
+    /// Rules 1, 3 and 4, where alarms ring as asked for. Limited messages stretch what may take long.
+    fn check_times(&mut self) {
+        let (now, awake, world) = (self.world.now, self.awake, &self.world);
+        let over = |at: Time, span: Time| now > at.max(awake) + span;
+        let known = self.mandate.grace - self.mandate.way_longest;
+        // Limited messages stretch what may take long.
+        let slack = if self.mandate.messages_most > 0 { ms(4_000) } else { known };
+        for (k, told) in self.told.iter().enumerate() {
+            let id = node(k as u8);
+            let out = world.withdrawn.contains(&id);
+            assert!(
+                out || !told.barred_at.is_some_and(|at| over(at, slack)),
+                "rule 3: {id} is not withdrawn"
+            );
+            // A node that started lately holds no more than its age allows, beside one that is warm.
+            let young = told.listed && told.started.is_some_and(|at| now < at + ms(5_000));
+            let weight = world.table.get(&id).copied().unwrap_or(0.0);
+            let heard = young && !out && over(told.started_told, known);
+            assert!(!heard || weight <= told.weight * 0.5, "rule 4: {id} at {weight}");
+            let back = !young && told.open_at.is_some_and(|at| over(at, self.mandate.warm_up));
+            assert!(!back || !out, "{id} is open and stays withdrawn");
+        }
+        let warm = |told: &Told| {
+            told.listed && told.started.is_none_or(|at| at + self.mandate.warm_up + slack < now)
+        };
+        let warm = self.told.iter().any(warm);
+        let bare = warm && world.table.keys().all(|id| world.withdrawn.contains(id));
+        self.bare_since = bare.then(|| self.bare_since.unwrap_or(now));
+        let least = self.mandate.bare - self.mandate.way_longest;
+        assert!(self.bare_since.is_none_or(|at| !over(at, least)), "rule 1: no line in the table");
+        // Urgent binds act within the graces, whatever the flushes wait for.
+        for (proxy, at) in world.joined.iter().filter(|(proxy, _)| !world.bound.contains(proxy)) {
+            let waited = over(*at, self.mandate.grace) && self.mandate.messages_most == 0;
+            assert!(!(waited && warm), "rules 1 and 3: {proxy:?} is not bound");
+        }
+    }
+}
+
+#[test]
+fn the_rules_hold_on_generated_days() {
+    fn holds(day: Day) -> TestResult {
+        let mut play = Play::new(day.mandate);
+        day.happens.iter().for_each(|happens| play.happen(*happens));
+        TestResult::passed()
+    }
+    let rng = Gen::from_size_and_seed(120, 41);
+    QuickCheck::new().rng(rng).tests(400).quickcheck(holds as fn(Day) -> TestResult);
+}
