--- a/src/balance.rs
+++ b/src/balance.rs
@@ -309,7 +309,14 @@
             withdrew: None,
             proxies: BTreeMap::new(),
             channel: Channel { waiting: 0.0, at: now, pace, written, marks: 0, queued: 0.0, asked: None },
-            fleet: Fleet { judged: now, strained: now, levelled: now, amounts, ..Fleet::default() },
+            fleet: Fleet {
+                strain: Strain::Tense,
+                judged: now,
+                strained: now,
+                levelled: now,
+                amounts,
+                ..Fleet::default()
+            },
             watch: if mandate.roster_asked { Watch::Due(now) } else { Watch::Standing },
             failures: 0,
             slices: BTreeMap::new(),
