--- a/src/balance.rs
+++ b/src/balance.rs
@@ -782,6 +782,9 @@
         self.strain_fleet(middle_lost, all_time / target, orders);
         let listed: f64 = self.open().map(|node| node.listed).sum();
         let mut eased: f64 = self.open().map(|node| node.listed * (1.0 - node.ease)).sum();
+        // A few jammed nodes must not keep themselves from being eased, nor few heard speak for the rest.
+        let most = heard.len() * 2 >= self.open().count();
+        let rest_time = if most { middle_time.min(all_time) } else { all_time };
         let (lag, outlived) = (self.mandate.lag(), self.outlived());
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
@@ -805,7 +808,7 @@
                 _ => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
             };
             let more = node.listed * (node.ease - ease);
-            let room = all_time <= harm && (dry || eased + more <= listed * EASED_MOST);
+            let room = rest_time <= harm && (dry || eased + more <= listed * EASED_MOST);
             if ease == node.ease || more > 0.0 && !room {
                 continue;
             }
