--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,9 +13,9 @@
 
 /// The one table that all proxies share.
 const SHARED: TableId = TableId(0);
-/// Longest wait of a buffered change, from the proposal's write coalescing.
+/// Longest wait of a buffered change, and changes (count) that are flushed without it: the figures of the
+/// proposal's write coalescing.
 const FLUSH_PERIOD: Time = Time::from_ms(100);
-/// Changes (count) that are flushed without waiting for the period: the proposal's example.
 const FLUSH_COUNT: usize = 50;
 /// Share of the backlog, and of the messages a proxy may be written, that flushes and binds may use: the
 /// rest is kept for withdrawals.
@@ -229,13 +229,6 @@
     jammed: f64,
 }
 
-/// The roster's subscription, where it has to be asked for.
-enum Watch {
-    Standing,
-    Asked(Time),
-    Due(Time),
-}
-
 /// A slice in this conductor's charge: its node, and since when that is lost.
 #[derive(Default)]
 struct Slice {
@@ -267,7 +260,8 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     channel: Channel,
     fleet: Fleet,
-    watch: Watch,
+    /// When the roster must be asked again, if it must, and how often in a row it failed.
+    ask_due: Option<Time>,
     failures: u32,
     slices: BTreeMap<TableId, Slice>,
     alarm: Time,
@@ -317,7 +311,7 @@
                 amounts,
                 ..Fleet::default()
             },
-            watch: if mandate.roster_asked { Watch::Due(now) } else { Watch::Standing },
+            ask_due: mandate.roster_asked.then_some(now),
             failures: 0,
             slices: BTreeMap::new(),
             alarm: now,
@@ -337,7 +331,7 @@
         }
         entries.iter().for_each(|entry| self.list(entry));
         if !cached {
-            self.heard_roster();
+            (self.ask_due, self.failures) = (None, 0);
         }
         self.settle(now, orders);
     }
@@ -345,7 +339,7 @@
     pub fn roster_changed(&mut self, now: Time, entries: &[Listing], orders: To) {
         self.turn(now);
         entries.iter().for_each(|entry| self.list(entry));
-        self.heard_roster();
+        (self.ask_due, self.failures) = (None, 0);
         self.settle(now, orders);
     }
 
@@ -354,7 +348,7 @@
             let wait = ASK_WAIT.seconds() * f64::from(1u32 << self.failures.min(4));
             let wait = wait.min(self.mandate.ask_within.seconds() / 4.0) * (0.5 + self.chance.below_one());
             self.failures = self.failures.saturating_add(1);
-            self.watch = Watch::Due(now + Time::from_seconds(wait));
+            self.ask_due = Some(now + Time::from_seconds(wait));
         }
         self.settle(now, orders);
     }
@@ -483,13 +477,6 @@
             };
         }
     }
-
-    fn heard_roster(&mut self) {
-        self.failures = 0;
-        if self.mandate.roster_asked {
-            self.watch = Watch::Standing;
-        }
-    }
 }
 
 // ---- What is worked out ----
@@ -602,10 +589,6 @@
         exchanges.map(|(terms, amount)| (self.mandate.tries(terms, self.fleet.strain), *amount)).collect()
     }
 
-    fn zone_barred(&self, zone: ZoneId) -> bool {
-        self.snapshot.values().all(|node| node.zone != zone || node.barred)
-    }
-
     /// The table has no line that proxies may use.
     fn bare(&self) -> bool {
         self.table.lines.keys().all(|id| self.withdrawn.contains(id))
@@ -712,16 +695,11 @@
 impl Balance {
     /// The roster must be asked, and no subscription stands or its answer is overdue.
     fn ask_roster(&mut self, orders: To) -> bool {
-        let due = match self.watch {
-            Watch::Standing => return false,
-            Watch::Asked(at) => at + PATIENCE,
-            Watch::Due(at) => at,
-        };
-        if self.now < due {
+        if self.ask_due.is_none_or(|due| self.now < due) {
             return false;
         }
         orders.watch(true);
-        self.watch = Watch::Asked(self.now);
+        self.ask_due = Some(self.now + PATIENCE);
         true
     }
 
@@ -945,7 +923,8 @@
         }
         // The one whose standing nodes may all be withdrawn goes first, then the longest wait.
         let waits = self.proxies.iter().filter(|(_, proxy)| !proxy.bound && may(proxy));
-        let bare = |proxy: &Proxy| proxy.fresh && self.zone_barred(proxy.zone);
+        let barred = |zone| self.snapshot.values().all(|node| node.zone != zone || node.barred);
+        let bare = |proxy: &Proxy| proxy.fresh && barred(proxy.zone);
         let mut waits: Vec<(bool, Time, ProxyId)> =
             waits.map(|(id, proxy)| (!bare(proxy), proxy.joined, *id)).collect();
         waits.sort();
