Silent nodes go on trial; cuts of up to 0.45 at a time

A node on which its part should have brought six good answers and none was heard is put on trial (also covers hung nodes and links; could harm a node whose sums alone are late).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,7 +38,7 @@
 /// answer, or an acknowledgement beyond its longest way, is waited for.
 const ASK_WAIT: Time = Time::from_ms(250);
 const PATIENCE: Time = Time::from_ms(5_000);
-/// Wait of an acknowledgement that a proxy standing still explains as well as a slow channel does.
+/// Wait of an acknowledgement that a proxy's stall explains as well as a slow channel does.
 const STALL: Time = Time::from_ms(500);
 /// Share of the stated pace below which the channel is never believed to be.
 const PACE_FLOOR: f64 = 0.05;
@@ -66,7 +66,7 @@
 /// that one cut leaves: evidence is noisy, and a queue laid before convicts it again.
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
-const CUT_MOST: f64 = 0.6;
+const CUT_MOST: f64 = 0.45;
 /// How many times its weight an eased node is raised to at a time.
 const RAISE: f64 = 1.5;
 /// Wait of an eased node before it is raised, doubled by each relapse up to 16 times, and of the fleet
@@ -154,6 +154,8 @@
     met: Tries<NODE_MEMORY>,
     /// Tries lost since the last good one.
     dry: u32,
+    /// When a good one was last heard of.
+    heard: Time,
     /// Share of its weight that its health leaves it.
     ease: f64,
     /// Until then shares heard tell of the time before its last change.
@@ -377,7 +379,10 @@
         let lost = met.lost.min(met.tries);
         self.fleet.met.add(now, met, lost);
         if let Some(node) = self.snapshot.get_mut(&met.node) {
-            node.dry = if lost < met.tries { 0 } else { node.dry.saturating_add(lost) };
+            node.dry = node.dry.saturating_add(lost);
+            if lost < met.tries {
+                (node.dry, node.heard) = (0, now);
+            }
             if now >= node.blind {
                 node.met.add(now, met, lost);
             }
@@ -460,21 +465,11 @@
         node.zone = entry.zone;
         if node.ease == 0.0 || entry.started > node.started {
             // A new start. Its ramp is its trial: what was met before says nothing of it.
-            let step = self.mandate.warm_steps(entry.started, self.now);
-            let (zone, listed, started) = (node.zone, node.listed, entry.started);
-            let (open, barred, stepped, blind) = (node.open, node.barred, self.now, self.now);
-            *node = Node {
-                ease: 1.0,
-                zone,
-                listed,
-                open,
-                barred,
-                started,
-                step,
-                stepped,
-                blind,
-                ..Node::default()
-            };
+            (node.started, node.ease) = (entry.started, 1.0);
+            (node.step, node.stepped) = (self.mandate.warm_steps(entry.started, self.now), self.now);
+            (node.met, node.dry, node.relapses, node.raised) = Default::default();
+            (node.blind, node.held) = (self.now, self.now);
+            node.heard = self.now + self.mandate.lag() + FLUSH_PERIOD;
         }
     }
 }
@@ -764,11 +759,16 @@
         let most = heard.len() * 2 >= self.open().count();
         let rest_time = if most { middle_time.min(all_time) } else { all_time };
         let (lag, outlived) = (self.mandate.lag(), self.outlived());
+        let each =
+            self.fleet.met.all.rate(now, self.mandate.sums_period) / self.table.lines.values().sum::<f64>();
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
             let met = node.symptoms(now);
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
-            let dry = f64::from(node.dry) >= few && better_lost < LOSSY;
+            // Work sent with nothing coming back, before it even ends: what its part should have brought.
+            let silent = now - node.heard - self.mandate.sums_period;
+            let unheard = silent.seconds() * each * self.table.lines.get(id).copied().unwrap_or(0.0);
+            let dry = f64::from(node.dry).max(unheard) >= few && better_lost < LOSSY;
             let ease = match met {
                 _ if dry => TRICKLE,
                 // What it still does well, it is left with.
@@ -804,6 +804,7 @@
             }
             eased += more;
             (node.ease, node.raised, node.dry, node.met) = (ease, more < 0.0, 0, Tries::default());
+            node.heard = now + lag;
         }
         true
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -88,6 +88,17 @@
     assert_eq!(play.weight(2), 1.0);
 }
 
+#[test]
+fn a_node_from_which_nothing_comes_back_is_put_on_trial_before_its_tries_end() {
+    let mut play = Play::new(|_| {});
+    play.seconds(8, |_| Some((20, 0, 100)));
+    play.seconds(3, |k| (k != 5).then_some((20, 0, 100)));
+    assert!(play.weight(5) < 0.05);
+    // Sums that stop for all of them, as when streams break, say nothing of any node.
+    play.seconds(10, |_| None);
+    assert!((0..8).filter(|k| *k != 5).all(|k| play.weight(k) == 1.0));
+}
+
 #[test]
 fn a_conductor_cut_off_with_a_few_nodes_keeps_to_them() {
     let mut play = Play::new(|_| {});
