Silence of a node counts only while others are heard of

Its small test showed that sums stopping for all nodes, as when streams break, put them all on trial. Counted up to the fleet's last good news now.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -218,6 +218,8 @@
 #[derive(Default)]
 struct Fleet {
     met: Tries<FLEET_MEMORY>,
+    /// When a good try was last heard of.
+    heard: Time,
     judged: Time,
     strain: Strain,
     /// When it last looked no better.
@@ -378,6 +380,7 @@
         self.turn(now);
         let lost = met.lost.min(met.tries);
         self.fleet.met.add(now, met, lost);
+        self.fleet.heard = if lost < met.tries { now } else { self.fleet.heard };
         if let Some(node) = self.snapshot.get_mut(&met.node) {
             node.dry = node.dry.saturating_add(lost);
             if lost < met.tries {
@@ -765,8 +768,9 @@
             let met = node.symptoms(now);
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
-            // Work sent with nothing coming back, before it even ends: what its part should have brought.
-            let silent = now - node.heard - self.mandate.sums_period;
+            // Work sent with nothing coming back, before it even ends: what its part should have brought
+            // while others were heard of.
+            let silent = self.fleet.heard - node.heard - self.mandate.sums_period;
             let unheard = silent.seconds() * each * self.table.lines.get(id).copied().unwrap_or(0.0);
             let dry = f64::from(node.dry).max(unheard) >= few && better_lost < LOSSY;
             let ease = match met {
