Judge eased nodes on evidence in proportion to their weight

Evidence wanted is now in proportion to the weight, and after three more waits a node is raised on trust.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,8 @@
 const JUDGE_PERIOD: Time = Time::from_ms(500);
 /// Tries (count) that must have ended lately at a node for a judgement by shares.
 const EVIDENCE: f64 = 8.0;
+/// The least share of them at an eased node, which gets fewer.
+const EVIDENCE_LEAST: f64 = 0.25;
 /// Tries (count) lost without a good one between for which a node is put on trial.
 const DRY: f64 = 6.0;
 /// Share of tries lost above the fleet's middle for which a node is eased.
@@ -87,7 +89,7 @@
 const LEVEL_LEAST: f64 = 0.1;
 /// Exchanges a second of a class that a proxy lets in at the least: demand unheard of is no reason to refuse.
 const RATE_LEAST: f64 = 1.0;
-const LEVEL_CUT: f64 = 0.7;
+const LEVEL_CUT: f64 = 0.5;
 const LEVEL_RAISE: f64 = 1.25;
 
 // ---- State ----
@@ -612,7 +614,7 @@
 impl Node {
     /// What proxies met there, where enough was heard.
     fn symptoms(&self, now: Time) -> Option<(f64, f64)> {
-        (self.met.all.read(now) >= EVIDENCE).then(|| self.met.read(now))
+        (self.met.all.read(now) >= EVIDENCE * self.ease.max(EVIDENCE_LEAST)).then(|| self.met.read(now))
     }
 }
 
@@ -783,7 +785,8 @@
                     (node.ease * left.clamp(CUT_MOST, 1.0)).max(EASE_LEAST)
                 }
                 _ if now < node.held => node.ease,
-                None if node.ease > TRICKLE => node.ease,
+                // Too little is heard to tell: it waits once more, and is then raised on trust.
+                None if node.ease > TRICKLE && now < node.held + HOLD + HOLD + HOLD => node.ease,
                 // Back at the fleet's pace it returns fast; one that is merely small settles short of harm.
                 Some((_, time)) if time > middle_time * CLEAR && time > harm * CLEAR / 2.0 => node.ease,
                 Some((_, time)) if time > middle_time * CLEAR => (node.ease * RAISE.sqrt()).min(1.0),
