Levels are not cut under what the fleet still fulfils

Cause: a small test of a jam that lasts showed levels halved without end and released 30 s late. 0.6 of what is fulfilled is now the least.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -90,6 +90,7 @@
 /// Exchanges a second of a class that a proxy lets in at the least: demand unheard of is no reason to refuse.
 const RATE_LEAST: f64 = 1.0;
 const LEVEL_CUT: f64 = 0.5;
+const LEVEL_DONE: f64 = 0.6;
 const LEVEL_RAISE: f64 = 1.25;
 
 // ---- State ----
@@ -664,10 +665,8 @@
     }
 
     fn lay_line(&mut self, id: NodeId, weight: f64, orders: To) {
-        let former = match weight > 0.0 {
-            true => self.table.lines.insert(id, weight),
-            false => self.table.lines.remove(&id),
-        };
+        let lines = &mut self.table.lines;
+        let former = if weight > 0.0 { lines.insert(id, weight) } else { lines.remove(&id) };
         if former != Some(weight) {
             orders.line(SHARED, id, weight);
         }
@@ -848,7 +847,8 @@
         let (lost, time) = self.fleet.met.read(self.now);
         let capacity = self.fleet.capacity;
         let let_in = capacity.unwrap_or(wanted).min(wanted);
-        let fine = lost <= SHORT / 2.0 && time <= HARM * self.mean_target();
+        let target = self.mean_target();
+        let fine = lost <= SHORT / 2.0 && time <= HARM * target;
         self.fleet.capacity = match self.fleet.strain {
             _ if fine => {
                 capacity.map(|capacity| capacity * LEVEL_RAISE).filter(|capacity| *capacity < wanted)
@@ -856,7 +856,9 @@
             // A jam that already clears up is left to.
             Strain::Short if time >= self.fleet.jammed => {
                 self.fleet.levelled = self.fleet.levelled + self.outlived();
-                Some(let_in * (1.0 - lost).clamp(LEVEL_CUT, 0.9))
+                // What is fulfilled even so is the least that the fleet can do.
+                let done = self.fleet.met.all.rate(self.now, self.mandate.sums_period) * (1.0 - lost);
+                Some((let_in * (1.0 - lost).clamp(LEVEL_CUT, 0.9)).max(done * target * LEVEL_DONE))
             }
             _ => capacity,
         };
@@ -909,10 +911,9 @@
             late && self.mandate.may_write(proxy, 1.0, self.now)
         });
         let fits = self.channel.waiting + self.bind_lines() < self.mandate.backlog;
-        match late.map(|(id, _)| *id).filter(|_| fits && !self.table.lines.is_empty()) {
-            Some(proxy) => self.bind(proxy, orders),
-            None => return false,
-        }
+        let late = late.map(|(id, _)| *id).filter(|_| fits && !self.table.lines.is_empty());
+        let Some(proxy) = late else { return false };
+        self.bind(proxy, orders);
         true
     }
 
