A node comes off trial near what it had; dry runs of eight

Off trial a node gets 0.4 of what it had; eight tries lost in a row instead of six. A dead node costs a few tries more at each trial; relapses still double the wait.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,7 +53,7 @@
 /// The least share of them at an eased node, which gets fewer.
 const EVIDENCE_LEAST: f64 = 0.25;
 /// Tries (count) lost without a good one between for which a node is put on trial.
-const DRY: f64 = 6.0;
+const DRY: f64 = 8.0;
 /// Share of tries lost above the fleet's middle for which a node is eased.
 const LOSSY: f64 = 0.1;
 /// Part of the nodes that the better ones are: they must do well where others are put on trial.
@@ -69,6 +69,8 @@
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
 const CUT_MOST: f64 = 0.45;
+/// Share of what it had before that a node gets when its trial ends.
+const TRIAL: f64 = 0.4;
 /// How many times its weight an eased node is raised to at a time.
 const RAISE: f64 = 1.5;
 /// Wait of an eased node before it is raised, doubled by each relapse up to 16 times, and of the fleet
@@ -166,6 +168,8 @@
     /// Until then it is not raised; each relapse after a raise doubles the wait.
     held: Time,
     relapses: u32,
+    /// Its share before it was last eased.
+    before: f64,
     raised: bool,
 }
 
@@ -436,11 +440,7 @@
     pub fn rang(&mut self, now: Time, orders: To) {
         self.settle(now, orders);
     }
-}
-
-// ---- What inputs change ----
 
-impl Balance {
     fn settle(&mut self, now: Time, orders: To) {
         self.turn(now);
         while RULES.iter().any(|rule| rule(self, orders)) {}
@@ -517,9 +517,9 @@
         let held = match terms.repeat {
             Repeat::Safe => true,
             // Every try falls within the cut-off, so a window as long covers them all.
-            Repeat::Keyed { reach: Reach::All, window } => window >= terms.cut_off,
-            Repeat::Keyed { reach: Reach::Zone, window } => window >= terms.cut_off && self.zones == 1,
-            Repeat::Keyed { reach: Reach::Cell, .. } | Repeat::Never => false,
+            Repeat::Keyed { window, .. } if window < terms.cut_off => false,
+            Repeat::Keyed { reach, .. } => reach == Reach::All || reach == Reach::Zone && self.zones == 1,
+            Repeat::Never => false,
         };
         match strain {
             Strain::Calm if held => FurtherTries::One,
@@ -640,7 +640,7 @@
     ALL_IN
 }
 
-// ---- What rules do ----
+// ---- Rules, and what they do ----
 
 impl Balance {
     /// Books lines that go to a proxy; all that goes to it in one turn is one message.
@@ -687,11 +687,7 @@
         orders.mark(channel.marks, false);
         written.into_iter().for_each(|proxy| self.book(proxy, 1.0));
     }
-}
-
-// ---- Rules ----
 
-impl Balance {
     /// The roster must be asked, and no subscription stands or its answer is overdue.
     fn ask_roster(&mut self, orders: To) -> bool {
         if self.ask_due.is_none_or(|due| self.now < due) {
@@ -789,6 +785,7 @@
                 // Back at the fleet's pace it returns fast; one that is merely small settles short of harm.
                 Some((_, time)) if time > middle_time * CLEAR && time > harm * CLEAR / 2.0 => node.ease,
                 Some((_, time)) if time > middle_time * CLEAR => (node.ease * RAISE.sqrt()).min(1.0),
+                _ if node.ease <= TRICKLE => (node.before * TRIAL).max(EASE_LEAST),
                 _ => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
             };
             let more = node.listed * (node.ease - ease);
@@ -801,6 +798,7 @@
                 orders.note(&format!("{id} to {part:.0}% of its weight: {lost:.2} lost, {time:.2} s"));
             }
             if more > 0.0 {
+                node.before = node.ease.max(EASE_LEAST);
                 node.relapses += u32::from(node.raised);
                 node.held = now + Time(HOLD.0 << node.relapses.min(4));
                 node.blind = now + lag + outlived;
