--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,9 +30,11 @@
 const FALL_MARGIN: f64 = 0.4;
 /// The same, as a share of that, for each strain: an overload sends a node several times its work.
 const FALL_STRAIN: [f64; 3] = [1.0, 0.6, 0.25];
-/// Warmth, as a share of a node's usual work, from which it bears what proxies keep from all others.
+/// Warmth, as a share of a node's usual work, from which it bears what proxies keep from all others, and the
+/// share of the fleet's load that this is, for all cold nodes together.
 const BEARS: f64 = 0.7;
-/// The least share of its weight at which a line stands: below it a node would hardly be heard of.
+const BEARS_CROWD: f64 = 0.5;
+/// The least share of its weight at which a line stands.
 const LINE_LEAST: f64 = 0.01;
 /// First wait before asking the roster again after a failure, doubled up to four times, and how long an
 /// answer, or an acknowledgement beyond its longest way, is waited for.
@@ -48,9 +50,9 @@
 const FLEET_MEMORY: u64 = 1_000;
 /// How often nodes are judged: twice for each usual gathering of sums.
 const JUDGE_PERIOD: Time = Time::from_ms(500);
-/// Tries (count) that must have ended lately at a node for a judgement by shares.
+/// Tries (count) that must have ended lately at a node for a judgement by shares; an eased one gets fewer,
+/// and needs as much less, down to a least share of them.
 const EVIDENCE: f64 = 8.0;
-/// The least share of them at an eased node, which gets fewer.
 const EVIDENCE_LEAST: f64 = 0.25;
 /// Tries (count) lost without a good one between for which a node is put on trial.
 const DRY: f64 = 8.0;
@@ -69,9 +71,8 @@
 const TRICKLE: f64 = 0.02;
 const EASE_LEAST: f64 = 0.1;
 const CUT_MOST: f64 = 0.45;
-/// Share of what it had before that a node gets when its trial ends.
+/// Share of what it had before that a node gets off its trial, and how many times its weight a raise leaves.
 const TRIAL: f64 = 0.4;
-/// How many times its weight an eased node is raised to at a time.
 const RAISE: f64 = 1.5;
 /// Wait of an eased node before it is raised, doubled by each relapse up to 16 times, and of the fleet
 /// before its strain is believed to be over.
@@ -366,11 +367,11 @@
 
     pub fn joined(&mut self, now: Time, proxy: ProxyId, zone: ZoneId, fresh: bool, orders: To) {
         let demand = vec![Sum::default(); self.mandate.exchanges.len()];
-        let bound = self.sliced();
+        let bound = self.mandate.slices > 0;
         let met = Proxy { zone, joined: now, fresh, bound, demand, written: VecDeque::new() };
         self.proxies.insert(proxy, met);
-        // Starting over: the proxy comes with a table of an earlier life, which may have held back much. Until
-        // something is heard, the fleet is taken to fall short.
+        // Starting over: a table of an earlier life may have held back much. The fleet is taken to fall short
+        // until it is heard of.
         if !fresh && now < self.born + HOLD {
             (self.fleet.strain, self.fleet.strained) = (Strain::Short, now);
         }
@@ -530,10 +531,6 @@
 }
 
 impl Balance {
-    fn sliced(&self) -> bool {
-        self.mandate.slices > 0
-    }
-
     fn open(&self) -> impl Iterator<Item = &Node> {
         self.snapshot.values().filter(|node| node.open)
     }
@@ -548,10 +545,13 @@
         if node.step < RAMP_STEPS {
             let strain = self.fleet.strain;
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * done;
-            // Proxies that keep away from nodes failing them crowd onto the one that does not: in a jam a
-            // cold node gets no part until it can bear that.
+            // Proxies that keep away from nodes failing them crowd onto those that do not: in a jam a cold
+            // node gets no part until it, with the other cold ones, can bear that.
+            let (cold, all) =
+                (self.open().filter(|node| node.step < RAMP_STEPS).count(), self.open().count());
+            let bears = BEARS_CROWD * all as f64 / cold.max(1) as f64 / self.mandate.fall_multiple;
             let jam = strain == Strain::Short && self.mandate.strikes > 0;
-            if jam && warmth < BEARS && self.open().any(|node| node.step == RAMP_STEPS) {
+            if jam && cold < all && warmth < bears.min(BEARS) {
                 return 0.0;
             }
             // Rule 4 where few nodes are warm: their missing part must not fall on the cold ones.
@@ -739,7 +739,7 @@
     /// bounded, so that where most look bad it is the judgement that is doubted.
     fn judge(&mut self, orders: To) -> bool {
         let now = self.now;
-        if self.sliced() || now < self.fleet.judged + JUDGE_PERIOD {
+        if self.mandate.slices > 0 || now < self.fleet.judged + JUDGE_PERIOD {
             return false;
         }
         self.fleet.judged = now;
@@ -765,8 +765,7 @@
             let met = node.symptoms(now);
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
-            // Work sent with nothing coming back, before it even ends: what its part should have brought
-            // while others were heard of.
+            // Work sent with nothing coming back: what its part should have brought while others were heard.
             let silent = self.fleet.heard - node.heard - self.mandate.sums_period;
             let unheard = silent.seconds() * each * self.table.lines.get(id).copied().unwrap_or(0.0);
             let dry = f64::from(node.dry).max(unheard) >= few && better_lost < LOSSY;
@@ -883,7 +882,7 @@
     /// A line or level should differ from what was pushed: the change waits in the buffer. One that was
     /// undone nets out.
     fn gather_change(&mut self, _orders: To) -> bool {
-        if self.sliced() {
+        if self.mandate.slices > 0 {
             return false;
         }
         // A node that was withdrawn and is back before its line was taken out must be let in again, too.
@@ -925,7 +924,7 @@
         let due = self.flush_due().is_some_and(|due| now >= due);
         let full =
             self.channel.waiting > half || self.proxies.values().any(|proxy| proxy.bound && !may(proxy));
-        if self.sliced() || !due || full {
+        if self.mandate.slices > 0 || !due || full {
             return false;
         }
         // The one whose standing nodes may all be withdrawn goes first, then the longest wait.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -156,6 +156,21 @@
     }
 }
 
+#[test]
+fn a_fleet_that_grows_in_a_jam_is_used_once_its_new_nodes_bear_it() {
+    // Incident i5c5c63: new nodes were kept out of a jam that they could have ended.
+    let jam = |k| (k < 4).then_some((20, 12 + u32::from(k) % 4, 1_500));
+    let mut play = Play::new(|_| {});
+    play.tell(&(4..8).map(|k| listing(k, Standing::Gone, None)).collect::<Vec<_>>());
+    play.seconds(10, jam);
+    let started = Some(play.world.now);
+    play.tell(&(4..8).map(|k| listing(k, Standing::Ready, started)).collect::<Vec<_>>());
+    play.seconds(1, jam);
+    assert!((4..8).all(|k| play.weight(k) == 0.0));
+    play.seconds(6, jam);
+    assert!((4..8).all(|k| play.weight(k) > 0.0 && play.weight(k) < 0.2));
+}
+
 #[test]
 fn a_zone_that_comes_back_cold_is_ramped_and_a_stall_makes_no_jump() {
     let mut play = Play::new(|_| {});
