--- a/src/balance.rs
+++ b/src/balance.rs
@@ -799,10 +799,10 @@
             if more > 0.0 {
                 node.before = node.ease.max(EASE_LEAST);
                 node.relapses += u32::from(node.raised);
-                node.held = now + Time(HOLD.0 << node.relapses.min(4));
+                node.held = now + Time(HOLD.0 << (node.relapses + u32::from(!dry)).min(4));
                 node.blind = now + lag + outlived;
             } else {
-                node.held = now + lag;
+                node.held = now + HOLD + HOLD;
                 node.blind = now + lag;
             }
             eased += more;
