Every start is careful, and a jam may crowd wholly onto the cold nodes

Now every start takes the fleet to be short until it is heard of, which also drops the special case, and the share is the whole.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -33,7 +33,7 @@
 /// Warmth, as a share of a node's usual work, from which it bears what proxies keep from all others, and the
 /// share of the fleet's load that this is, for all cold nodes together.
 const BEARS: f64 = 0.7;
-const BEARS_CROWD: f64 = 0.5;
+const BEARS_CROWD: f64 = 1.0;
 /// The least share of its weight at which a line stands.
 const LINE_LEAST: f64 = 0.01;
 /// First wait before asking the roster again after a failure, doubled up to four times, and how long an
@@ -261,7 +261,6 @@
 pub struct Balance {
     mandate: Mandate,
     now: Time,
-    born: Time,
     chance: Chance,
     /// The listed nodes, and those told as draining or gone until they come back.
     snapshot: BTreeMap<NodeId, Node>,
@@ -306,7 +305,6 @@
         let amounts = vec![ALL_IN; mandate.exchanges.len()];
         let mut balance = Balance {
             now,
-            born: now,
             // The low word must not be 0, nor the carry reach the multiplier.
             chance: Chance((seed >> 33 << 32) | (seed & 0xffff_ffff) | 1),
             snapshot: BTreeMap::new(),
@@ -315,8 +313,9 @@
             withdrew: None,
             proxies: BTreeMap::new(),
             channel: Channel { waiting: 0.0, at: now, pace, written, marks: 0, queued: 0.0, asked: None },
+            // Starting over: what an earlier life held back is forgotten, so the fleet falls short until heard.
             fleet: Fleet {
-                strain: Strain::Tense,
+                strain: Strain::Short,
                 judged: now,
                 strained: now,
                 levelled: now,
@@ -370,11 +369,6 @@
         let bound = self.mandate.slices > 0;
         let met = Proxy { zone, joined: now, fresh, bound, demand, written: VecDeque::new() };
         self.proxies.insert(proxy, met);
-        // Starting over: a table of an earlier life may have held back much. The fleet is taken to fall short
-        // until it is heard of.
-        if !fresh && now < self.born + HOLD {
-            (self.fleet.strain, self.fleet.strained) = (Strain::Short, now);
-        }
         self.settle(now, orders);
     }
 
