--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,10 +30,6 @@
 const FALL_MARGIN: f64 = 0.4;
 /// The same, as a share of that, for each strain: an overload sends a node several times its work.
 const FALL_STRAIN: [f64; 3] = [1.0, 0.6, 0.25];
-/// Warmth, as a share of a node's usual work, from which it bears what proxies keep from all others, and the
-/// share of the fleet's load that this is, for all cold nodes together.
-const BEARS: f64 = 0.7;
-const BEARS_CROWD: f64 = 1.0;
 /// The least share of its weight at which a line stands.
 const LINE_LEAST: f64 = 0.01;
 /// First wait before asking the roster again after a failure, doubled up to four times, and how long an
@@ -539,13 +535,10 @@
         if node.step < RAMP_STEPS {
             let strain = self.fleet.strain;
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * done;
-            // Proxies that keep away from nodes failing them crowd onto those that do not: in a jam a cold
-            // node gets no part until it, with the other cold ones, can bear that.
-            let (cold, all) =
-                (self.open().filter(|node| node.step < RAMP_STEPS).count(), self.open().count());
-            let bears = BEARS_CROWD * all as f64 / cold.max(1) as f64 / self.mandate.fall_multiple;
+            // Proxies that keep away from nodes failing them crowd onto those that do not, however little
+            // their weight: in a jam a cold node gets no part beside warm ones.
             let jam = strain == Strain::Short && self.mandate.strikes > 0;
-            if jam && cold < all && warmth < bears.min(BEARS) {
+            if jam && self.open().any(|node| node.step == RAMP_STEPS) {
                 return 0.0;
             }
             // Rule 4 where few nodes are warm: their missing part must not fall on the cold ones.
