--- a/src/balance.rs
+++ b/src/balance.rs
@@ -839,7 +839,9 @@
             }
             // A jam that already clears up is left to.
             Strain::Short if time >= self.fleet.jammed => {
-                self.fleet.levelled = self.fleet.levelled + self.outlived();
+                // What was let in before goes on to end until the last is given up.
+                let cut_offs = self.mandate.exchanges.iter().map(|terms| terms.cut_off);
+                self.fleet.levelled = self.fleet.levelled + cut_offs.max().unwrap_or_default();
                 // What is fulfilled even so is the least that the fleet can do.
                 let done = self.fleet.met.all.rate(self.now, self.mandate.sums_period) * (1.0 - lost);
                 Some((let_in * (1.0 - lost).clamp(LEVEL_CUT, 0.9)).max(done * target * LEVEL_DONE))
