--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,7 +57,9 @@
 /// Part of the nodes that the better ones are: they must do well where others are put on trial.
 const BETTER: f64 = 0.2;
 /// Mean time as a share of the mean target time from which it does harm.
-const HARM: f64 = 0.5;
+const HARM: f64 = 0.42;
+/// The same for the middle of the nodes, from which the rest has no room for what is eased.
+const ROOM: f64 = 0.5;
 /// How many times slower than the fleet's middle a harmed node is when it is eased, and how near to the
 /// middle, or to half of what harms, it must be to be raised again.
 const SLOW: f64 = 1.4;
@@ -775,7 +777,7 @@
                 _ => (node.ease * RAISE).clamp(EASE_LEAST, 1.0),
             };
             let more = node.listed * (node.ease - ease);
-            let room = rest_time <= harm && (dry || eased + more <= listed * EASED_MOST);
+            let room = rest_time <= ROOM * target && (dry || eased + more <= listed * EASED_MOST);
             if ease == node.ease || more > 0.0 && !room {
                 continue;
             }
@@ -832,7 +834,7 @@
         let capacity = self.fleet.capacity;
         let let_in = capacity.unwrap_or(wanted).min(wanted);
         let target = self.mean_target();
-        let fine = lost <= SHORT / 2.0 && time <= HARM * target;
+        let fine = lost <= SHORT / 2.0 && time <= ROOM * target;
         self.fleet.capacity = match self.fleet.strain {
             _ if fine => {
                 capacity.map(|capacity| capacity * LEVEL_RAISE).filter(|capacity| *capacity < wanted)
