Dropped nodes stay while they answer, where the mandate lets them

Defence against lists that empty or drop live nodes: live evidence keeps such a node in, and an emptied list keeps the table.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -147,8 +147,10 @@
 struct Node {
     zone: ZoneId,
     listed: f64,
-    /// Listed, and neither draining nor gone.
+    /// Neither draining nor gone.
     open: bool,
+    /// No longer listed, but it may stay.
+    dropped: bool,
     /// Proxies must stop sending to it within the grace.
     barred: bool,
     started: Option<Time>,
@@ -335,7 +337,8 @@
         self.turn(now);
         let named: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
         for (_, node) in self.snapshot.iter_mut().filter(|(id, _)| !named.contains(id)) {
-            node.open = false;
+            node.dropped |= node.open;
+            node.open &= self.mandate.dropped_may_stay;
             node.barred |= !self.mandate.dropped_may_stay;
         }
         entries.iter().for_each(|entry| self.list(entry));
@@ -454,8 +457,8 @@
         let gone = entry.standing == Standing::Gone;
         let stays = gone && self.mandate.dropped_may_stay;
         let node = self.snapshot.entry(entry.node).or_default();
-        node.open = entry.standing == Standing::Ready;
-        node.barred = !node.open && !stays;
+        (node.dropped, node.barred) = (stays, entry.standing != Standing::Ready && !stays);
+        node.open = entry.standing == Standing::Ready || stays && node.open;
         if gone {
             return;
         }
@@ -529,7 +532,10 @@
 
     /// The weight that a node should stand at in the shared table; 0 for no line.
     fn weight(&self, node: &Node) -> f64 {
-        if !node.open {
+        // A list that empties or drops live nodes is in doubt where the mandate lets them stay: one that still
+        // answers does, and so do all if none is left.
+        let stale = node.dropped && self.now > node.heard + PATIENCE;
+        if !node.open || stale && self.open().any(|node| !node.dropped) {
             return 0.0;
         }
         let done = f64::from(node.step) / f64::from(RAMP_STEPS);
@@ -750,7 +756,7 @@
         let (lag, outlived) = (self.mandate.lag(), self.outlived());
         let each =
             self.fleet.met.all.rate(now, self.mandate.sums_period) / self.table.lines.values().sum::<f64>();
-        for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
+        for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open && !node.dropped) {
             let met = node.symptoms(now);
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -193,6 +193,25 @@
     assert_eq!(play.world.tries[&1], FurtherTries::One);
 }
 
+#[test]
+fn a_list_that_drops_live_nodes_is_doubted_only_where_they_may_stay() {
+    let well = |_| Some((20, 0, 100));
+    for stays in [true, false] {
+        let mut play = Play::new(|mandate| mandate.dropped_may_stay = stays);
+        play.seconds(3, well);
+        play.balance.roster_whole(play.world.now, &[ready(0)], false, &mut play.world);
+        play.seconds(8, |k| if k == 7 { None } else { well(k) });
+        // Those that answer stay, one that does not goes; without the clause all are withdrawn.
+        assert_eq!(play.world.withdrawn.len(), if stays { 0 } else { 7 });
+        assert!((1..7).all(|k| (play.weight(k) == 1.0) == stays) && play.weight(7) == 0.0);
+        play.balance.roster_whole(play.world.now, &[], false, &mut play.world);
+        play.seconds(20, |_| None);
+        assert_eq!(play.world.table.is_empty(), !stays);
+        play.tell(&[listing(0, Standing::Draining, None)]);
+        assert!(play.world.withdrawn.contains(&node(0)));
+    }
+}
+
 #[test]
 fn a_node_drained_and_back_within_a_flush_is_let_in_again() {
     let mut play = Play::new(|_| {});
