The interface holds only what the module reads

Load reports, the number of proxies and the span of a cold node's fall were decoded and never read. The adapter still checks a report's length.

--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -79,13 +79,14 @@
         Ok(taken)
     }
 
-    /// A load report: nothing, or as many values as the settings name.
-    fn report(&mut self, columns: usize) -> Result<Vec<f32>> {
+    /// Passes over a load report: nothing, or as many values as the settings name.
+    fn report(&mut self, columns: usize) -> Result<()> {
         let count = usize::from(self.u8()?);
         if count != 0 && count != columns {
             bail!("a load report of {count} values where {columns} are due");
         }
-        Ok((0..count).map(|_| self.f32()).collect::<Read<_>>()?)
+        (0..count).try_for_each(|_| self.f32().map(|_| ()))?;
+        Ok(())
     }
 
     fn end(&self) -> Result<()> {
@@ -213,9 +214,9 @@
             bail!("conductor {conductor} is born while it lives");
         }
         let (seed, length) = (from.u64()?, from.u32()?);
-        let mandate = mandate::decode(from.bytes(length as usize)?)?;
+        let (mandate, columns) = mandate::decode(from.bytes(length as usize)?)?;
         from.end()?;
-        let (classes, zones, columns) = (mandate.exchanges.len() as u16, mandate.zones, mandate.report.len());
+        let (classes, zones) = (mandate.exchanges.len() as u16, mandate.zones);
         let balance = Balance::begin(now, mandate, seed, &mut reply.of(conductor));
         self.born.insert(conductor, Hosted { balance, classes, zones, columns });
         Ok(())
@@ -272,9 +273,10 @@
 
 fn digest(hosted: &mut Hosted, from: &mut Fields, now: Time, pen: &mut Pen) -> Result<()> {
     let (span, node, lost, zone) = (from.span()?, from.node()?, from.u32()?, hosted.zone(from)?);
-    let (mean, tries, report) = (from.span()?, from.u32()?, from.report(hosted.columns)?);
+    let (mean, tries) = (from.span()?, from.u32()?);
+    from.report(hosted.columns)?;
     from.end()?;
-    hosted.balance.met(now, &Met { node, zone, span, tries, lost, mean, report: &report }, pen);
+    hosted.balance.met(now, &Met { node, zone, span, tries, lost, mean }, pen);
     Ok(())
 }
 
--- a/crates/wirehost/src/mandate.rs
+++ b/crates/wirehost/src/mandate.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use anyhow::{Context, Result, anyhow, bail};
-use oatpitch::interface::{ExchangeTerms, LevelKind, Mandate, Measure, Reach, Repeat, Time};
+use oatpitch::interface::{ExchangeTerms, LevelKind, Mandate, Reach, Repeat, Time};
 
 use crate::US;
 
@@ -49,7 +49,8 @@
 
 const YES_NO: [(&str, bool); 2] = [("true", true), ("false", false)];
 
-pub fn decode(settings: &[u8]) -> Result<Mandate> {
+/// The mandate, and how many columns a load report has.
+pub fn decode(settings: &[u8]) -> Result<(Mandate, usize)> {
     let text = std::str::from_utf8(settings).context("settings: not UTF-8")?;
     let mut pairs = Pairs(BTreeMap::new());
     for (number, line) in text.lines().enumerate().filter(|(_, line)| !line.is_empty()) {
@@ -65,13 +66,13 @@
     let asked = at.choice("discovery", &[("push", false), ("ask", true)])?;
     let stays = "guarantees.dropped_stay_open";
     let reported = at.choice("report.how", &[("piggyback", true), ("pull", true), ("silent", false)])?;
-    Ok(Mandate {
+    let columns = if reported { at.list("report.columns")?.count() } else { 0 };
+    let mandate = Mandate {
         exchanges: exchanges(at)?,
         zones,
         roster_asked: asked,
         ask_within: if asked { at.time("guarantees.ask_within_us")? } else { Time::default() },
         sums_period: at.time("specifics.cycle_us")?,
-        report: if reported { at.list("report.columns")?.map(measure).collect() } else { Vec::new() },
         levels: at.choice(
             "specifics.admit",
             &[("share", LevelKind::Share), ("rate", LevelKind::Rate), ("silent", LevelKind::Ignored)],
@@ -80,7 +81,6 @@
         single_owner: at.choice("specifics.single_writer", &YES_NO)?,
         write_life: at.time("specifics.write_life_us")?,
         lease: at.time("specifics.lease_us")?,
-        proxies: at.value("specifics.data_plane_size")?,
         channel_pace: at.figure("specifics.egress_per_s")?,
         message_head: at.figure("specifics.head")?,
         backlog: at.figure("specifics.pending_max")?,
@@ -95,17 +95,8 @@
         cold_share: at.figure("guarantees.cold_from")?,
         warm_up: at.time("guarantees.warm_up_us")?,
         fall_multiple: at.figure("guarantees.fall_multiple")?,
-        fall_span: at.time("guarantees.overload_for_us")?,
-    })
-}
-
-fn measure(column: &str) -> Measure {
-    match column {
-        "active" => Measure::InHand,
-        "waiting" => Measure::Waiting,
-        "cpu" => Measure::Busy,
-        _ => Measure::Other,
-    }
+    };
+    Ok((mandate, columns))
 }
 
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -115,15 +115,6 @@
     Ignored,
 }
 
-/// A column of a node's load report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Measure {
-    InHand,
-    Waiting,
-    Busy,
-    Other,
-}
-
 /// What a conductor is charged with, read once at its start.
 #[derive(Clone, Debug)]
 pub struct Mandate {
@@ -135,8 +126,6 @@
     pub ask_within: Time,
     /// How often sums are gathered.
     pub sums_period: Time,
-    /// What the load reports hold, column by column.
-    pub report: Vec<Measure>,
     pub levels: LevelKind,
     /// Slices that keys fall into; 0 for none.
     pub slices: u32,
@@ -146,8 +135,6 @@
     pub write_life: Time,
     /// How long a proxy that lost its stream keeps sending writes to an owner.
     pub lease: Time,
-    /// Proxies in all, over all conductors.
-    pub proxies: u32,
     /// Lines a second that the channel sends when all is well.
     pub channel_pace: f64,
     /// Lines that each message costs on top of its own.
@@ -171,9 +158,8 @@
     /// A starting node does at least this share of its usual work, and all of it after `warm_up`.
     pub cold_share: f64,
     pub warm_up: Time,
-    /// Sent more than this many times what it can do, for `fall_span`, a cold node falls over.
+    /// Sent more than this many times what it can do, a cold node falls over.
     pub fall_multiple: f64,
-    pub fall_span: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,7 +182,7 @@
 
 /// What the joined proxies of a zone met at a node.
 #[derive(Clone, Debug)]
-pub struct Met<'a> {
+pub struct Met {
     pub node: NodeId,
     pub zone: ZoneId,
     pub span: Time,
@@ -204,8 +190,6 @@
     pub lost: u32,
     /// Mean time of the good ones; none if there were none.
     pub mean: Time,
-    /// The node's load report, empty if none came.
-    pub report: &'a [f32],
 }
 
 /// Exchanges of a class that came to a proxy, or for a slice.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -44,7 +44,7 @@
             for k in (0..8).filter(|_| step % 20 == 0) {
                 let Some((tries, lost, mean)) = met(k) else { continue };
                 let (node, zone, span) = (node(k), ZoneId(0), ms(1_000));
-                let met = Met { node, zone, span, tries, lost, mean: ms(mean), report: &[] };
+                let met = Met { node, zone, span, tries, lost, mean: ms(mean) };
                 self.balance.met(now, &met, &mut self.world);
                 let asked = Asked {
                     proxy: Some(ProxyId(u16::from(k) % 6)),
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -26,13 +26,11 @@
         roster_asked: false,
         ask_within: ms(10_000),
         sums_period: ms(1_000),
-        report: vec![Measure::InHand],
         levels: LevelKind::Rate,
         slices: 0,
         single_owner: false,
         write_life: ms(1_000),
         lease: ms(2_500),
-        proxies: 6,
         channel_pace: 5_000.0,
         message_head: 6.0,
         backlog: 2_000.0,
@@ -47,7 +45,6 @@
         cold_share: 0.2,
         warm_up: ms(15_000),
         fall_multiple: 3.0,
-        fall_span: ms(2_000),
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -127,11 +127,10 @@
                 self.balance.left(now, proxy, &mut self.world);
             }
             7 | 8 => {
-                // Sums that contradict themselves among them: more lost than tried, no span, odd reports.
+                // Sums that contradict themselves among them: more lost than tried, no span.
                 let (tries, lost) = (u32::from(how % 40), u32::from(how / 40 % 50));
-                let report = [f32::NAN, -1.0];
                 let (span, mean) = (ms(u64::from(how % 2) * 1_000), ms(u64::from(how)));
-                let met = Met { node: node(k), zone: ZoneId(0), span, tries, lost, mean, report: &report };
+                let met = Met { node: node(k), zone: ZoneId(0), span, tries, lost, mean };
                 self.balance.met(now, &met, &mut self.world);
             }
             9 => {
