--- a/crates/conductor/src/memory/mod.rs
+++ b/crates/conductor/src/memory/mod.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     Opened(ConnId, SocketAddr),
+    /// A connection could not be taken: descriptors are short.
+    Refused,
     Said(ConnId, Said),
     Ended(ConnId, Ending),
     /// News of the watch of this number, or of a fetch.
--- a/crates/conductor/src/memory/reducer.rs
+++ b/crates/conductor/src/memory/reducer.rs
@@ -108,6 +108,10 @@
         let now = self.now;
         match input {
             Input::Opened(conn, peer) => self.opened(conn, peer),
+            Input::Refused => {
+                self.counters.add("connections refused", 1);
+                self.make_room(limits::REFUSED_ROOM);
+            }
             Input::Said(conn, said) => self.said(conn, said),
             Input::Ended(conn, ending) => self.ended(conn, ending),
             Input::News(number, news) => self.news(number, news),
@@ -137,6 +141,10 @@
             self.effects.push(Effect::Log(Grade::Info, name.unwrap_or_default() + &text));
         }
         let orders = std::mem::take(&mut self.ordered.effects);
+        let tells = orders.iter().filter(|effect| matches!(effect, Effect::Tell(..))).count();
+        if tells > 0 {
+            self.counters.add("datagrams ordered", tells as u64);
+        }
         self.effects.extend(orders);
         let again = self.watch.again;
         let wake = self.ordered.bells.first().copied().into_iter().chain(again).min();
@@ -166,15 +174,18 @@
         self.conns.insert(conn, (Party::Stranger, peer));
         self.strangers.insert(conn);
         self.counters.peak("connections at most", self.conns.len() as u64);
-        // Those that never named themselves go first, the oldest first.
-        if self.conns.len() > self.conns_most
-            && let Some(oldest) = self.strangers.first().copied()
-        {
-            self.counters.add("strangers ended for room", 1);
-            self.drop_conn(oldest);
+        if self.conns.len() > self.conns_most {
+            self.make_room(1);
         }
     }
 
+    /// Ends connections that never named themselves, the oldest first.
+    fn make_room(&mut self, count: usize) {
+        let oldest: Vec<ConnId> = self.strangers.iter().take(count).copied().collect();
+        self.counters.add("strangers ended for room", oldest.len() as u64);
+        oldest.into_iter().for_each(|conn| self.drop_conn(conn));
+    }
+
     fn said(&mut self, conn: ConnId, said: Said) {
         let Some((party, _)) = self.conns.get(&conn).copied() else {
             // Ended by the memory while this was on its way.
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -576,6 +576,27 @@
     assert_eq!(desk.watches().last(), Some(&(2, 5)));
 }
 
+/// Guards against a table of descriptors that is full, whoever filled it, keeping proxies out.
+#[test]
+fn a_refused_connection_makes_room_among_strangers() {
+    let mut desk = Desk::new(false);
+    desk.open(0, [hello(0)]);
+    (1..6).for_each(|conn| desk.open(conn, []));
+    desk.turn(1, [Input::Refused]);
+    assert_eq!(desk.ended, BTreeSet::from([1, 2, 3, 4, 5].map(ConnId)));
+    desk.turn(1, [Input::Refused]);
+    assert_eq!((desk.ended.len(), desk.counted("connections refused")), (5, 2));
+}
+
+#[test]
+fn a_datagram_over_the_longest_is_never_sent() {
+    let mut ordered = Ordered::new(Vec::new());
+    [0, 256, 257].iter().for_each(|length| ordered.tell(Some(PeerId(1)), &vec![0; *length]));
+    ordered.tell(None, b"all");
+    let sent = [(Some(1), vec![]), (Some(1), vec![0; 256]), (None, b"all".to_vec())];
+    assert_eq!(ordered.effects, sent.map(|(peer, message)| Effect::Tell(peer, message)));
+}
+
 #[test]
 fn datagrams_are_only_counted() {
     let mut desk = Desk::new(false);
--- a/crates/conductor/src/run/limits.rs
+++ b/crates/conductor/src/run/limits.rs
@@ -29,6 +29,8 @@
 pub const NAME_LONGEST: usize = 256;
 /// Wait after a failed accept, so that a full table of descriptors makes no busy loop.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Strangers ended for each failed accept, so that a proxy behind a queue of them is in within a second.
+pub const REFUSED_ROOM: usize = 8;
 /// For the head of discovery's answer, which an agent on the same machine gives at once.
 pub const ROSTER_ANSWER: Duration = Duration::from_millis(1_000);
 /// Without a byte for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -83,6 +83,7 @@
         proxies: posting.charge.mandate.proxies,
     });
     let spare = (posting.sockets / limits::SOCKETS_SPARE_PART).min(limits::SOCKETS_SPARE);
+    let nodes = posting.known.entries.len();
     let conns_most = posting.sockets - 2 * spare;
     let start = Start {
         mandate: posting.charge.mandate,
@@ -109,7 +110,7 @@
         datagrams: datagrams.clone(),
         wake: None,
     };
-    info!(log, "listening on {}", posting.listen);
+    info!(log, "listening on {}, seed {:016x}, {nodes} nodes known", posting.listen, posting.seed);
     let reader = Reader { terms, inbox: inbox.clone(), budget: Budget::default() };
     spawn_local(accept(listener, reader, hands.conns.clone(), conns_most + spare));
     if let Some(socket) = datagrams {
@@ -229,6 +230,8 @@
             continue;
         }
         let Ok((socket, peer)) = listener.accept().await else {
+            // Nothing to be told to is a conductor that stops.
+            let _ = reader.inbox.send(Input::Refused).await;
             tokio::time::sleep(limits::ACCEPT_PAUSE).await;
             continue;
         };
