--- a/crates/conductor/src/memory/ordered.rs
+++ b/crates/conductor/src/memory/ordered.rs
@@ -141,7 +141,11 @@
             }
             must!(counters, parts.len() <= PARTS_MOST, "a message has at most 64 parts");
             counters.add("messages to proxies", 1);
-            counters.add("lines to proxies", parts.iter().map(|part| part.cost() as u64).sum());
+            let sum = |count: fn(&Part) -> usize| parts.iter().map(|part| count(part) as u64).sum();
+            counters.add("lines to proxies", sum(|part| part.cost()));
+            counters.add("whole tables", sum(|part| part.whole.into()));
+            counters.add("shut out", sum(|part| part.out.len()));
+            counters.add("let back", sum(|part| part.back.len()));
             messages.push((stream.conn, push::encode(&parts)));
         }
         self.streams = streams;
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -632,7 +632,8 @@
                 Input::News(number, News { entries, ..list(100 + u64::from(which), false, &[]) })
             }
             13 => Input::NewsEnded(number.filter(|number| *number > 0), "cause".into()),
-            14 => Input::Peer(None),
+            14 if how % 2 == 0 => Input::Peer(None),
+            14 => Input::Refused,
             _ => Input::Bell,
         }
     }
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -110,7 +110,7 @@
         datagrams: datagrams.clone(),
         wake: None,
     };
-    info!(log, "listening on {}, seed {:016x}, {nodes} nodes known", posting.listen, posting.seed);
+    info!(log, "listening on {}, seed {:016x}, nodes known: {nodes}", posting.listen, posting.seed);
     let reader = Reader { terms, inbox: inbox.clone(), budget: Budget::default() };
     spawn_local(accept(listener, reader, hands.conns.clone(), conns_most + spare));
     if let Some(socket) = datagrams {
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -57,8 +57,7 @@
     state: String,
     #[serde(default = "one")]
     capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: f64,
+    boot_ms: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -93,7 +92,7 @@
         if target.uid.is_empty() || target.uid.len() > limits::NAME_LONGEST {
             return None;
         }
-        let started = (target.boot_ms > 0.0).then(|| from_ms(target.boot_ms));
+        let started = target.boot_ms.filter(|at| *at > 0.0).map(from_ms);
         Some(Entry {
             zone: zones.iter().position(|zone| *zone == target.az)? as u16,
             node: target.uid,
