The clock goes in whole ticks, so that judging does not drift against the sums

Cause: each alarm was set from a turn that its timer had put off by 1 ms or so, and by the pause between turns (run/mod.rs, run/clock.rs): judging took 505 to 508 ms each time instead of 500, 0.28 to 0.39 s after 50 of them. Now the clock shows whole ticks as the simulator's does.

--- a/crates/conductor/src/run/clock.rs
+++ b/crates/conductor/src/run/clock.rs
@@ -1,31 +1,67 @@
-//! One clock: the system's time at the start plus the monotonic clock since, so that it never runs back.
+//! One clock: the system's time at the start plus the monotonic clock since, so that it never runs back. It
+//! goes in whole ticks, as the simulator's does: a turn that a timer's lateness puts off by less than a tick
+//! still has the time that was asked for, so that spans counted from turn to turn do not grow.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use oatpitch::interface::Time;
 
 /// A tenth of a millisecond, in microseconds.
-const TENTH: u128 = 100;
+const TENTH: u64 = 100;
 
 #[derive(Clone, Copy)]
 pub struct Clock {
-    start: Duration,
+    start: Time,
     since: Instant,
+    tick: u64,
 }
 
 impl Clock {
-    pub fn start() -> Clock {
+    pub fn start(tick: Time) -> Clock {
         let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start, since: Instant::now() }
+        Clock { start: Time(start.as_micros() as u64 / TENTH), since: Instant::now(), tick: tick.0.max(1) }
+    }
+
+    fn shows(&self, elapsed: Duration) -> Time {
+        let tenths = elapsed.as_micros() as u64 / TENTH;
+        self.start + Time(tenths - tenths % self.tick)
     }
 
     pub fn now(&self) -> Time {
-        Time(((self.start + self.since.elapsed()).as_micros() / TENTH) as u64)
+        self.shows(self.since.elapsed())
     }
 
     /// When the clock will show a time.
     pub fn instant(&self, at: Time) -> tokio::time::Instant {
-        let from_epoch = Duration::from_micros(at.0.saturating_mul(TENTH as u64));
-        (self.since + from_epoch.saturating_sub(self.start)).into()
+        let tenths = (at - self.start).0.div_ceil(self.tick).saturating_mul(self.tick);
+        (self.since + Duration::from_micros(tenths.saturating_mul(TENTH))).into()
+    }
+
+    /// When it will show another time than the one it shows now.
+    pub fn next(&self) -> tokio::time::Instant {
+        self.instant(self.now() + Time(1))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against drift: alarms set a span from each turn must keep to that span, though every timer is
+    /// late, or what is done by periods falls behind what comes by periods.
+    #[test]
+    fn a_late_timer_does_not_move_the_next() {
+        let clock = Clock { start: Time(17_000_000_000_003), since: Instant::now(), tick: 50 };
+        let mut turn = clock.shows(Duration::ZERO);
+        for k in 1..=1000u64 {
+            let asked = turn + Time::from_ms(100);
+            let late = Duration::from_micros(k * 37 % 4_900);
+            let rings = clock.instant(asked) - tokio::time::Instant::from(clock.since) + late;
+            turn = clock.shows(rings);
+            assert_eq!(turn, clock.start + Time::from_ms(100 * k));
+        }
+        // A real stall is told as it is.
+        let stalled = clock.shows(Duration::from_millis(123_457));
+        assert_eq!(stalled, clock.start + Time::from_ms(123_455));
     }
 }
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -10,7 +10,6 @@
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 
 use anyhow::{Context, Result};
 use slog::{Logger, error, info, warn};
@@ -75,7 +74,7 @@
     let (log, guard) = log::start(&posting.name);
     let (mut stop, mut stop_too) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut show = signal(SignalKind::user_defined1())?;
-    let clock = Clock::start();
+    let clock = Clock::start(posting.charge.tick);
     let (inbox, mut inputs) = mpsc::channel(limits::INBOX_MOST);
     let terms = Rc::new(Terms {
         zones: posting.charge.zones.clone(),
@@ -92,7 +91,8 @@
         known: posting.known,
         conns_most,
     };
-    let (mut memory, effects) = Memory::begin(clock.now(), start);
+    let mut turned = clock.now();
+    let (mut memory, effects) = Memory::begin(turned, start);
     let listener =
         TcpListener::bind(posting.listen).await.with_context(|| format!("listen: {}", posting.listen))?;
     let datagrams = match posting.peers.listen {
@@ -117,8 +117,6 @@
         spawn_local(hear_peers(socket, hands.peers.each.clone(), inbox.clone()));
     }
     let mut clogged = hands.carry_out(effects);
-    let tick = Duration::from_micros(posting.charge.tick.0 * 100);
-    let mut turned = Instant::now();
     loop {
         let mut gathered: Vec<Input> = std::mem::take(&mut clogged);
         let wake = hands.wake.map(|at| clock.instant(at));
@@ -135,14 +133,16 @@
             }
         }
         // Turns come at most once a tick, so that what comes together is one message.
-        tokio::time::sleep_until(turned + tick).await;
-        turned = Instant::now();
+        if clock.now() <= turned {
+            tokio::time::sleep_until(clock.next()).await;
+        }
+        turned = clock.now();
         while gathered.len() < limits::TURN_MOST {
             let Ok(input) = inputs.try_recv() else { break };
             gathered.push(input);
         }
         gathered.push(Input::Bell);
-        clogged = hands.carry_out(memory.turn(clock.now(), gathered));
+        clogged = hands.carry_out(memory.turn(turned, gathered));
     }
     info!(log, "stopped; counters: {}", memory.counters);
     log::finish(guard);
