--- a/crates/conductor/src/memory/ordered.rs
+++ b/crates/conductor/src/memory/ordered.rs
@@ -9,6 +9,7 @@
 use super::counters::Counters;
 use super::names::Names;
 use super::{ConnId, Effect, Grade, must};
+use crate::run::limits;
 use crate::wire::push::{self, Level, Part};
 
 /// The most parts of a message, and bytes of a line's name and figure that one part may hold.
@@ -146,7 +147,10 @@
             counters.add("whole tables", sum(|part| part.whole.into()));
             counters.add("shut out", sum(|part| part.out.len()));
             counters.add("let back", sum(|part| part.back.len()));
-            messages.push((stream.conn, push::encode(&parts)));
+            let message = push::encode(&parts);
+            let short = |line: &[u8]| line.len() <= limits::LINE_LONGEST;
+            must!(counters, message.split(|byte| *byte == b'\n').all(short), "a line is within the longest");
+            messages.push((stream.conn, message));
         }
         self.streams = streams;
         messages
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -238,6 +238,28 @@
         .quickcheck(play as fn(Vec<(u8, u8, u8)>));
 }
 
+/// Guards against a table so large that its line would be over the longest, which resets the stream.
+#[test]
+fn a_table_too_large_for_one_line_comes_in_parts() {
+    let (mut names, mut counters) = (Names::default(), Counters::default());
+    let mut ordered = Ordered::new(CLASSES.map(String::from).to_vec());
+    for k in 0..20_000 {
+        let node = names.list(&format!("s-{k:060}"));
+        ordered.line(TableId(0), node, 1.0);
+    }
+    ordered.level(Some(TableId(0)), Classes::default(), FurtherTries::One, 0.5);
+    ordered.join(ProxyId(0), ConnId(0));
+    ordered.bind(ProxyId(0), TableId(0), Classes::default());
+    ordered.mark(7, false);
+    let messages = ordered.close(&names, &mut counters);
+    let (mut plain, message) = (Plain::default(), &messages[0].1);
+    let lines: Vec<&[u8]> = message.split(|byte| *byte == b'\n').collect();
+    assert!(lines.len() > 3 && lines.iter().all(|line| line.len() <= limits::LINE_LONGEST));
+    assert_eq!(plain.apply(message), 1 + 20_000 + 1 + 1);
+    assert!(CLASSES.iter().all(|class| plain.tables[*class].len() == 20_000));
+    assert_eq!((plain.levels.len(), plain.marks), (2, vec![7]));
+}
+
 // ---- The reducer ----
 
 fn mandate(asked: bool) -> Mandate {
--- a/crates/conductor/src/run/clock.rs
+++ b/crates/conductor/src/run/clock.rs
@@ -1,6 +1,6 @@
 //! One clock: the system's time at the start plus the monotonic clock since, so that it never runs back. It
-//! goes in whole ticks, as the simulator's does, and a turn that a timer's own lateness puts off still has the
-//! time that was asked for, so that spans counted from turn to turn do not grow.
+//! goes in whole ticks, as the simulator's does, and a turn that a timer's own lateness puts off still has
+//! the time that was asked for, so that spans counted from turn to turn do not grow.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
