SIGHUP takes over a new configuration and moves the watch over discovery

The file is read in the one place that reads it at the start; its discovery goes before NODE_DISCOVERY there. The reducer moves the watch: the new one is opened from the version held, the old one counts until the new is answered. A file that can't be taken over is told by its key; keys that only a start takes over are told. Signals are looked at before inputs, so that they do not wait behind what always comes.

Tests: the reducer's order of watches; a whole conductor with a moved discovery, bad files and signals in a row.

--- a/crates/conductor/src/memory/mod.rs
+++ b/crates/conductor/src/memory/mod.rs
@@ -51,6 +51,11 @@
     Refused,
     Said(ConnId, Said),
     Ended(ConnId, Ending),
+    /// The configuration was read anew: where discovery is now, and the keys that only a new start takes
+    /// over; or what is wrong with it.
+    Renewed(Result<(SocketAddr, Vec<&'static str>), String>),
+    /// The watch of this number was answered.
+    Watching(u64),
     /// News of the watch of this number, or of a fetch.
     News(Option<u64>, News),
     /// A watch, or a fetch, has ended.
@@ -72,12 +77,15 @@
 pub enum Effect {
     Write(ConnId, Bytes),
     End(ConnId),
-    /// Follows the list from a version on; a watch opened before is ended.
+    /// Discovery is at another address from now on.
+    Discovery(SocketAddr),
+    /// Follows the list from a version on.
     Watch {
         number: u64,
         since: u64,
     },
-    Unwatch,
+    /// Ends the watch of this number.
+    Unwatch(u64),
     Fetch,
     Wake(Time),
     /// To one peer by its place in the list, or to all.
--- a/crates/conductor/src/memory/reducer.rs
+++ b/crates/conductor/src/memory/reducer.rs
@@ -31,6 +31,9 @@
     wanted: bool,
     open: bool,
     number: u64,
+    /// One at an address that discovery has left: kept until another is answered, so that nothing told
+    /// meanwhile is missed.
+    former: Option<u64>,
     /// The version held; the whole list is needed before the next watch.
     version: u64,
     gap: bool,
@@ -44,6 +47,7 @@
     pub classes: Vec<String>,
     pub seed: u64,
     pub known: News,
+    pub discovery: SocketAddr,
     /// The most connections, strangers included.
     pub conns_most: usize,
 }
@@ -58,6 +62,7 @@
     /// The roster speaks only when the module asks.
     asked: bool,
     watch: Watch,
+    discovery: SocketAddr,
     chance: fastrand::Rng,
     now: Time,
     /// When the log's room for faults of others was last full, and lines since then.
@@ -81,6 +86,7 @@
             strangers: BTreeSet::new(),
             asked,
             watch: Watch { wanted: !asked, ..Watch::default() },
+            discovery: start.discovery,
             chance: fastrand::Rng::with_seed(start.seed),
             now,
             logged: (now, 0),
@@ -114,6 +120,8 @@
             }
             Input::Said(conn, said) => self.said(conn, said),
             Input::Ended(conn, ending) => self.ended(conn, ending),
+            Input::Renewed(renewal) => self.renewed(renewal),
+            Input::Watching(number) => self.watching(number),
             Input::News(number, news) => self.news(number, news),
             Input::NewsEnded(number, cause) => self.news_ended(number, &cause),
             Input::Peer(from) => {
@@ -321,8 +329,45 @@
         entries.iter().map(listing).collect()
     }
 
+    /// Streams, tables and the list held stay as they are, whatever the file says.
+    fn renewed(&mut self, renewal: Result<(SocketAddr, Vec<&'static str>), String>) {
+        let (address, fixed) = match renewal {
+            Ok(renewal) => renewal,
+            Err(cause) => {
+                self.counters.add("configurations refused", 1);
+                return self.complain(format!("configuration not taken over: {cause}"));
+            }
+        };
+        self.counters.add("configurations read anew", 1);
+        for key in fixed {
+            self.complain(format!("configuration: {key} has changed, which takes a new start"));
+        }
+        if address == self.discovery {
+            return;
+        }
+        self.complain(format!("discovery: from {} to {address}", self.discovery));
+        self.discovery = address;
+        self.effects.push(Effect::Discovery(address));
+        if std::mem::take(&mut self.watch.open) {
+            // Of two in a row that were never answered, only the first is worth keeping.
+            match self.watch.former {
+                Some(_) => self.effects.push(Effect::Unwatch(self.watch.number)),
+                None => self.watch.former = Some(self.watch.number),
+            }
+        }
+        (self.watch.failures, self.watch.again) = (0, None);
+    }
+
+    fn watching(&mut self, number: u64) {
+        if self.watch.open && number == self.watch.number {
+            self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
+        }
+    }
+
     fn news(&mut self, number: Option<u64>, news: News) {
-        if number.is_some_and(|number| !self.watch.open || number != self.watch.number) {
+        let current = |number| self.watch.open && number == self.watch.number;
+        let former = number.is_some() && number == self.watch.former;
+        if number.is_some_and(|number| !current(number) && !former) {
             return self.counters.add("news of ended watches", 1);
         }
         if news.unreadable > 0 {
@@ -332,6 +377,9 @@
         if !news.whole && news.version < self.watch.version {
             // What lies between is not known: the list held stands until the whole one comes.
             self.counters.add("false versions", 1);
+            if former {
+                return self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
+            }
             self.watch.gap = true;
             return self.end_watch("a version before the one held");
         }
@@ -355,7 +403,10 @@
     }
 
     fn news_ended(&mut self, number: Option<u64>, cause: &str) {
-        if number.is_none() || number == Some(self.watch.number) && self.watch.open {
+        if number.is_some() && number == self.watch.former {
+            self.counters.add("watches ended", 1);
+            self.watch.former = None;
+        } else if number.is_none() || number == Some(self.watch.number) && self.watch.open {
             self.end_watch(cause);
         }
     }
@@ -365,7 +416,7 @@
         self.counters.add("watches ended", 1);
         self.complain(format!("discovery: {cause}"));
         if std::mem::take(&mut self.watch.open) {
-            self.effects.push(Effect::Unwatch);
+            self.effects.push(Effect::Unwatch(self.watch.number));
         }
         let wait = limits::RECONNECT_FIRST.0 << self.watch.failures.min(limits::RECONNECT_DOUBLINGS);
         self.watch.failures = self.watch.failures.saturating_add(1);
@@ -383,7 +434,10 @@
     fn follow(&mut self) {
         if let Some(on) = self.ordered.watched.take() {
             if !on && std::mem::take(&mut self.watch.open) {
-                self.effects.push(Effect::Unwatch);
+                self.effects.push(Effect::Unwatch(self.watch.number));
+            }
+            if !on {
+                self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
             }
             (self.watch.wanted, self.watch.again) = (on, None);
         }
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -310,7 +310,11 @@
 }
 
 fn peer() -> SocketAddr {
-    ([127, 0, 0, 1], 9).into()
+    address(9)
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
 }
 
 /// The reducer with its clock, what its connections were written, and which it has ended.
@@ -329,6 +333,7 @@
             classes: CLASSES.map(String::from).to_vec(),
             seed: 7,
             known: list(5, true, &[0, 1, 2]),
+            discovery: address(1),
             conns_most: 8,
         };
         let (memory, effects) = Memory::begin(Time(1_000_000), start);
@@ -553,12 +558,46 @@
     assert_eq!(desk.watches().last(), Some(&(10, 6)));
 }
 
+/// Guards against news lost while discovery moves: the old watch counts until the new one is answered, and no
+/// stream is touched. A file that can't be taken over changes nothing.
+#[test]
+fn a_moved_discovery_is_watched_before_the_old_watch_is_let_go() {
+    let mut desk = Desk::new(false);
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    let unwatched = |desk: &Desk, number| desk.effects.contains(&Effect::Unwatch(number));
+    desk.turn(1, [Input::Renewed(Err("seed: missing".into())), Input::Renewed(Ok((address(1), vec![])))]);
+    assert_eq!(desk.watches(), [(1, 5)]);
+    desk.turn(1, [Input::Renewed(Ok((address(2), vec!["listen"])))]);
+    assert!(desk.effects.contains(&Effect::Discovery(address(2))));
+    // Moved again before it was answered: the first is still the one that tells.
+    desk.turn(1, [Input::Renewed(Ok((address(3), vec![])))]);
+    assert_eq!(desk.watches(), [(1, 5), (2, 5), (3, 5)]);
+    assert!(unwatched(&desk, 2) && !unwatched(&desk, 1));
+    desk.turn(1, [Input::News(Some(1), list(6, false, &[3])), Input::Watching(2)]);
+    desk.turn(1, [Input::NewsEnded(Some(3), "refused".into())]);
+    desk.pass(200);
+    assert_eq!(desk.watches().last(), Some(&(4, 6)));
+    assert!(!unwatched(&desk, 1));
+    desk.turn(1, [Input::Watching(4), Input::News(Some(1), list(7, false, &[4]))]);
+    assert!(unwatched(&desk, 1));
+    desk.turn(1, [Input::News(Some(4), list(7, false, &[5]))]);
+    desk.pass(500);
+    assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-1", "s-2", "s-3", "s-5"]);
+    assert!(desk.ended.is_empty());
+    assert_eq!((desk.counted("configurations refused"), desk.counted("configurations read anew")), (1, 3));
+    // The old address ends its watch by itself: no cause to dial the new one again.
+    desk.turn(1, [Input::Renewed(Ok((address(4), vec![]))), Input::NewsEnded(Some(4), "closed".into())]);
+    desk.pass(500);
+    assert_eq!(desk.watches().len(), 5);
+}
+
 /// Guards against what lies between two versions being lost: the whole list is taken before the next watch.
 #[test]
 fn a_false_version_leads_to_the_whole_list() {
     let mut desk = Desk::new(false);
     desk.turn(1, [Input::News(Some(1), list(2, false, &[7]))]);
-    assert!(desk.effects.contains(&Effect::Unwatch));
+    assert!(desk.effects.contains(&Effect::Unwatch(1)));
     desk.pass(300);
     assert!(desk.effects.contains(&Effect::Fetch));
     assert_eq!(desk.watches().len(), 1);
@@ -655,6 +694,8 @@
             }
             13 => Input::NewsEnded(number.filter(|number| *number > 0), "cause".into()),
             14 if how % 2 == 0 => Input::Peer(None),
+            14 if how % 3 == 0 => Input::Renewed(Ok((address(which.into()), vec![]))),
+            14 if how % 5 == 0 => Input::Watching(how.into()),
             14 => Input::Refused,
             _ => Input::Bell,
         }
--- a/crates/conductor/src/run/config.rs
+++ b/crates/conductor/src/run/config.rs
@@ -13,11 +13,19 @@
 /// Descriptors where no limit is stated.
 const SOCKETS: usize = 1024;
 
+/// When the configuration is read: at the start, or anew while running.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Occasion {
+    Start,
+    Renewal,
+}
+
 /// What one conductor is told at its start.
+#[derive(Clone)]
 pub struct Posting {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: String,
+    pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
     pub peers: Peers,
@@ -25,26 +33,47 @@
     pub charge: Charge,
 }
 
+#[derive(Clone, PartialEq)]
 pub struct Peers {
     pub listen: Option<SocketAddr>,
     pub each: Vec<SocketAddr>,
     pub all: Option<SocketAddr>,
 }
 
-/// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go first.
-pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
+impl Posting {
+    /// Keys in which another configuration differs that only a new start takes over. The list known and the
+    /// seed are for starts alone, and differ each time.
+    pub fn fixed(&self, other: &Posting) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name == other.name),
+            ("listen", self.listen == other.listen),
+            ("limits.sockets", self.sockets == other.sockets),
+            ("peers", self.peers == other.peers),
+            ("settings", self.charge == other.charge),
+        ];
+        keys.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
+    }
+}
+
+/// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go first. In a
+/// renewal the file's discovery does: it is the new one, and the variable as old as the start.
+pub fn read(occasion: Occasion, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
     let path = variable("NODE_CONFIG").ok_or_else(|| anyhow!("NODE_CONFIG is not set"))?;
     let text = std::fs::read(&path).with_context(|| format!("NODE_CONFIG: {path}"))?;
     let config: Value = serde_json::from_slice(&text).with_context(|| format!("NODE_CONFIG: {path}"))?;
-    check(&config, variable)
+    check(occasion, &config, variable)
 }
 
-fn check(config: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
+fn check(occasion: Occasion, config: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
     if !config.is_object() {
         bail!("NODE_CONFIG: no JSON object");
     }
     let word = |name: &str, key: &'static str| {
-        let word = variable(name).or_else(|| config[key].as_str().map(String::from));
+        let stated = config[key].as_str().map(String::from);
+        let word = match occasion {
+            Occasion::Renewal if key == "discovery" => stated.or_else(|| variable(name)),
+            _ => variable(name).or(stated),
+        };
         word.filter(|word| !word.is_empty()).ok_or_else(|| anyhow!("{key}: missing, and {name} is not set"))
     };
     let (listen, discovery) = (word("NODE_LISTEN", "listen")?, word("NODE_DISCOVERY", "discovery")?);
@@ -64,7 +93,7 @@
     Ok(Posting {
         name: word("NODE_NAME", "name")?,
         listen: address(&listen).context("listen")?,
-        discovery: address(&discovery).map(|_| discovery).context("discovery")?,
+        discovery: address(&discovery).context("discovery")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: no hexadecimal number: {seed:?}"))?,
         sockets,
         peers: peers(config)?,
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -26,11 +27,11 @@
 use crate::wire::stream::{Budget, Outbox, Reader};
 use crate::wire::{peers, roster, stream};
 use clock::Clock;
-use config::{Peers, Posting};
+use config::{Occasion, Peers, Posting};
 
 /// Reads the configuration and runs; what is wrong is told in one line.
 pub fn main() -> ExitCode {
-    let started = config::read(|name| std::env::var(name).ok()).and_then(|posting| {
+    let started = read(Occasion::Start).and_then(|posting| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(&runtime, conduct(posting))
     });
@@ -44,14 +45,19 @@
     }
 }
 
+fn read(occasion: Occasion) -> Result<Posting> {
+    config::read(occasion, |name| std::env::var(name).ok())
+}
+
 /// What the effects act on. Nothing is decided by it.
 struct Hands {
     log: Logger,
     inbox: mpsc::Sender<Input>,
     conns: Conns,
     terms: Rc<Terms>,
-    discovery: Rc<str>,
-    watch: Option<AbortHandle>,
+    discovery: SocketAddr,
+    watches: BTreeMap<u64, AbortHandle>,
+    fetch: Option<AbortHandle>,
     peers: Peers,
     datagrams: Option<Rc<UdpSocket>>,
     wake: Option<oatpitch::interface::Time>,
@@ -73,7 +79,10 @@
 async fn conduct(posting: Posting) -> Result<()> {
     let (log, guard) = log::start(&posting.name);
     let (mut stop, mut stop_too) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut renew = signal(SignalKind::hangup())?;
     let mut show = signal(SignalKind::user_defined1())?;
+    // What a renewal is held against; the list known is for the start alone.
+    let stated = Posting { known: Default::default(), ..posting.clone() };
     let clock = Clock::start(posting.charge.tick);
     let (inbox, mut inputs) = mpsc::channel(limits::INBOX_MOST);
     let terms = Rc::new(Terms {
@@ -89,6 +98,7 @@
         classes: posting.charge.classes,
         seed: posting.seed,
         known: posting.known,
+        discovery: posting.discovery,
         conns_most,
     };
     let mut turned = clock.now();
@@ -104,8 +114,9 @@
         inbox: inbox.clone(),
         conns: Conns::default(),
         terms: terms.clone(),
-        discovery: posting.discovery.into(),
-        watch: None,
+        discovery: posting.discovery,
+        watches: BTreeMap::new(),
+        fetch: None,
         peers: posting.peers,
         datagrams: datagrams.clone(),
         wake: None,
@@ -122,14 +133,21 @@
         let wake = hands.wake.map(|at| clock.instant(at));
         if gathered.is_empty() {
             tokio::select! {
-                input = inputs.recv() => gathered.extend(input),
-                () = sleep(wake) => {}
+                // Signals are few, and must not wait behind what always comes.
+                biased;
                 _ = stop.recv() => break,
                 _ = stop_too.recv() => break,
+                _ = renew.recv() => {
+                    let read = read(Occasion::Renewal);
+                    let renewal = read.map(|posting| (posting.discovery, stated.fixed(&posting)));
+                    gathered.push(Input::Renewed(renewal.map_err(|trouble| format!("{trouble:#}"))));
+                }
                 _ = show.recv() => {
                     info!(log, "counters: {}", memory.counters);
                     continue;
                 }
+                input = inputs.recv() => gathered.extend(input),
+                () = sleep(wake) => {}
             }
         }
         // Turns come at most once a tick, so that what comes together is one message.
@@ -173,7 +191,8 @@
                 }
                 Effect::End(conn) => _ = self.conns.borrow_mut().remove(&conn),
                 Effect::Watch { number, since } => self.watch(number, since),
-                Effect::Unwatch => self.watch.take().iter().for_each(AbortHandle::abort),
+                Effect::Unwatch(number) => self.watches.remove(&number).iter().for_each(AbortHandle::abort),
+                Effect::Discovery(address) => self.discovery = address,
                 Effect::Fetch => self.fetch(),
                 Effect::Wake(at) => self.wake = Some(at),
                 Effect::Tell(peer, message) => self.tell(peer, message),
@@ -186,26 +205,32 @@
     }
 
     fn watch(&mut self, number: u64, since: u64) {
-        let (inbox, address, terms) = (self.inbox.clone(), self.discovery.clone(), self.terms.clone());
+        let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
         let task = async move {
-            let pass_on = async |news| _ = inbox.send(Input::News(Some(number), news)).await;
-            let ended = roster::watch(&address, since, &terms.zones, pass_on).await;
+            let ended = async {
+                let body = roster::open(address, since).await?;
+                let _ = inbox.send(Input::Watching(number)).await;
+                let pass_on = async |news| _ = inbox.send(Input::News(Some(number), news)).await;
+                roster::follow(body, &terms.zones, pass_on).await
+            };
+            let ended = ended.await;
             let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
             let _ = inbox.send(Input::NewsEnded(Some(number), cause)).await;
         };
-        let before = self.watch.replace(spawn_local(task).abort_handle());
-        before.iter().for_each(AbortHandle::abort);
+        self.watches.insert(number, spawn_local(task).abort_handle());
     }
 
-    fn fetch(&self) {
-        let (inbox, address, terms) = (self.inbox.clone(), self.discovery.clone(), self.terms.clone());
-        spawn_local(async move {
-            let heard = match roster::fetch(&address, &terms.zones).await {
+    /// One asked for before is given up.
+    fn fetch(&mut self) {
+        let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
+        let task = spawn_local(async move {
+            let heard = match roster::fetch(address, &terms.zones).await {
                 Ok(news) => Input::News(None, news),
                 Err(trouble) => Input::NewsEnded(None, format!("{trouble:#}")),
             };
             let _ = inbox.send(heard).await;
         });
+        self.fetch.replace(task.abort_handle()).iter().for_each(AbortHandle::abort);
     }
 
     fn tell(&self, peer: Option<usize>, message: Vec<u8>) {
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -1,5 +1,6 @@
 //! Discovery: a hyper client as a tower service, its documents, and a watch that lasts until it ends.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow, bail};
@@ -106,25 +107,22 @@
 
 /// One connection to discovery for each call: the answer's head, within the time for it.
 fn discovery(
-    address: String,
+    address: SocketAddr,
 ) -> impl Service<Request<Empty<Bytes>>, Response = Response<Incoming>, Error = tower::BoxError> {
-    let call = service_fn(move |ask: Request<Empty<Bytes>>| {
-        let address = address.clone();
-        async move {
-            let stream = TcpStream::connect(&address).await?;
-            stream.set_nodelay(true)?;
-            let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-            tokio::task::spawn_local(connection);
-            let response = sender.send_request(ask).await?;
-            Ok::<_, tower::BoxError>(response)
-        }
+    let call = service_fn(move |ask: Request<Empty<Bytes>>| async move {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::task::spawn_local(connection);
+        let response = sender.send_request(ask).await?;
+        Ok::<_, tower::BoxError>(response)
     });
     tower::timeout::Timeout::new(call, limits::ROSTER_ANSWER)
 }
 
-async fn ask(address: &str, path: &str) -> Result<Incoming> {
-    let ask = Request::get(path).header(HOST, address).body(Empty::new())?;
-    let response = discovery(address.into()).oneshot(ask).await.map_err(|trouble| anyhow!(trouble))?;
+async fn ask(address: SocketAddr, path: &str) -> Result<Incoming> {
+    let ask = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
+    let response = discovery(address).oneshot(ask).await.map_err(|trouble| anyhow!(trouble))?;
     if response.status() != StatusCode::OK {
         bail!("status {}", response.status());
     }
@@ -132,21 +130,20 @@
 }
 
 /// The whole list, once.
-pub async fn fetch(address: &str, zones: &[String]) -> Result<News> {
+pub async fn fetch(address: SocketAddr, zones: &[String]) -> Result<News> {
     let body = Limited::new(ask(address, "/catalog/members").await?, limits::ROSTER_LONGEST);
     let read = tokio::time::timeout(limits::ROSTER_SILENCE, body.collect());
     let body = read.await.context("no end of the list in time")?.map_err(|trouble| anyhow!(trouble))?;
     News::decode(&body.to_bytes(), zones)
 }
 
-/// Follows the list from a version on, until the watch ends or falls silent.
-pub async fn watch(
-    address: &str,
-    since: u64,
-    zones: &[String],
-    mut heard: impl AsyncFnMut(News),
-) -> Result<()> {
-    let mut body = ask(address, &format!("/catalog/members?follow=1&since={since}")).await?;
+/// Opens a watch over the list from a version on.
+pub async fn open(address: SocketAddr, since: u64) -> Result<Incoming> {
+    ask(address, &format!("/catalog/members?follow=1&since={since}")).await
+}
+
+/// Hears what a watch tells, until it ends or falls silent.
+pub async fn follow(mut body: Incoming, zones: &[String], mut heard: impl AsyncFnMut(News)) -> Result<()> {
     let mut lines = Lines::new(limits::ROSTER_LONGEST);
     while let Some(frame) = quiet_for(limits::ROSTER_SILENCE, body.frame()).await? {
         let Ok(data) = frame.context("the watch broke")?.into_data() else { continue };
--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -382,6 +382,60 @@
     assert!(log.contains("watches ended=6") && log.contains("whole lists=1"), "{log}");
 }
 
+/// Guards against a new configuration ending the conductor, or costing it streams or news: the file's address
+/// wins over the variable of the start, a file that can't be taken over is told and changes nothing, and it
+/// still stops as it should.
+#[test]
+fn a_new_configuration_is_taken_over_while_running() {
+    let ((old, old_answers, old_paths), (new, new_answers, new_paths)) = (discovery(), discovery());
+    let ((old_lines, old_watch), (new_lines, new_watch)) = (channel(), channel());
+    old_answers.send(Answer::Watch(old_watch)).expect("running");
+    let mut config = config(old);
+    let (mut command, folder) = command("renewal", config.to_string().as_bytes());
+    let child = command.env("NODE_DISCOVERY", old.to_string()).spawn().expect("started");
+    let listen = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
+    let conductor = Conductor { child, address: listen, folder };
+    let mut proxy = conductor.dial();
+    proxy.hello(17);
+    proxy.hear_until(whole);
+    old_paths.recv_timeout(LONGEST).expect("a watch");
+    let renew = |config: &[u8]| {
+        std::fs::write(conductor.folder.join("config.json"), config).expect("written");
+        conductor.signal("HUP");
+    };
+    config["seed"] = json!("none");
+    for bad in [&b"{\"name\":"[..], config.to_string().as_bytes()] {
+        renew(bad);
+        // A signal is taken within a few turns; two that come together may be taken as one.
+        (0..3).for_each(|_| proxy.probe());
+    }
+    // Before the new address answers, the old watch goes on telling.
+    (config["seed"], config["discovery"]) = (json!("77"), json!(new.to_string()));
+    config["settings"]["specifics"]["head"] = json!(7);
+    renew(config.to_string().as_bytes());
+    (0..5).for_each(|_| conductor.signal("HUP"));
+    old_lines.send(list(6, false, &[target("s-3", "active")])).expect("still watched");
+    assert_eq!(names(&proxy.hear_until(|message| !names(message).is_empty())), ["s-3"]);
+    new_answers.send(Answer::Watch(new_watch)).expect("running");
+    assert!(
+        new_paths.recv_timeout(LONGEST).expect("a watch").starts_with("/catalog/members?follow=1&since=")
+    );
+    new_lines.send(list(7, false, &[target("s-4", "active")])).expect("watched");
+    let change = proxy.hear_until(|message| !names(message).is_empty());
+    assert_eq!((whole(&change), names(&change)), (false, vec!["s-4"]));
+    let start = Instant::now();
+    while old_lines.send(String::new()).is_ok() {
+        assert!(start.elapsed() < LONGEST, "the old watch is never let go");
+        thread::sleep(Duration::from_millis(5));
+    }
+    conductor.signal("HUP");
+    let log = conductor.stop();
+    for told in ["NODE_CONFIG: ", "seed: no hexadecimal", "settings has changed", "streams opened=1"] {
+        assert!(log.contains(told), "{told} is missing: {log}");
+    }
+    assert!(!log.contains("missed"), "{log}");
+}
+
 /// Guards against a log that nobody reads stopping the conductor, or its end: closed, or full.
 #[test]
 fn a_log_that_nobody_reads_stops_nobody() {
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -12,7 +12,7 @@
 const US: u64 = 100;
 
 /// What the settings tell a host: the mandate, and what only the host needs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Charge {
     pub mandate: Mandate,
     /// How many values a load report has.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,7 +98,7 @@
 }
 
 /// The terms of one class of exchanges.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ExchangeTerms {
     pub target: Time,
     pub cut_off: Time,
@@ -116,7 +116,7 @@
 }
 
 /// What a conductor is charged with, read once at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Mandate {
     pub exchanges: Vec<ExchangeTerms>,
     pub zones: u16,
