A spoilt message costs itself alone, and figures that can't be true are not taken

Now the message alone is dropped and counted; only what is no object, or can't become one, ends a connection: half a message with another behind it, and bytes of no line. Counts, means, spans and marks are held to what can be true. The line is read without a tree of it in memory. One that has not joined is still ended for the first thing that can't be used.

--- a/crates/conductor/src/memory/mod.rs
+++ b/crates/conductor/src/memory/mod.rs
@@ -50,6 +50,8 @@
     /// A connection could not be taken: descriptors are short.
     Refused,
     Said(ConnId, Said),
+    /// A message that can't be used; those around it can.
+    Spoilt(ConnId, Unusable),
     Ended(ConnId, Ending),
     /// The configuration was read anew: where discovery is now, and the keys that only a new start takes
     /// over; or what is wrong with it.
--- a/crates/conductor/src/memory/ordered.rs
+++ b/crates/conductor/src/memory/ordered.rs
@@ -32,7 +32,8 @@
     told: BTreeMap<NodeId, bool>,
     /// Nodes withdrawn or let back in this turn, since it joined.
     news: BTreeSet<NodeId>,
-    marks: BTreeSet<u16>,
+    /// Marks not answered yet, and when they were ordered.
+    marks: BTreeMap<u16, Time>,
 }
 
 /// What the orders of this turn changed.
@@ -84,10 +85,14 @@
         self.turn.bound.remove(&proxy);
     }
 
-    /// A mark that was ordered on the proxy's stream and not answered yet.
-    pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> Option<u16> {
+    /// A mark that was ordered on the proxy's stream, no shorter ago than it took, and not answered yet.
+    pub fn answered(&mut self, now: Time, proxy: ProxyId, mark: u64, took: Time) -> Option<u16> {
         let (mark, stream) = (u16::try_from(mark).ok()?, self.streams.get_mut(&proxy)?);
-        stream.marks.remove(&mark).then_some(mark)
+        let ordered = *stream.marks.get(&mark)?;
+        (took <= now - ordered + limits::TOOK_SLACK).then(|| {
+            stream.marks.remove(&mark);
+            mark
+        })
     }
 
     pub fn doubt(&mut self, node: NodeId) {
@@ -119,7 +124,7 @@
     }
 
     /// Ends the turn: one message for every proxy that its orders concern.
-    pub fn close(&mut self, names: &Names, counters: &mut Counters) -> Vec<(ConnId, Bytes)> {
+    pub fn close(&mut self, now: Time, names: &Names, counters: &mut Counters) -> Vec<(ConnId, Bytes)> {
         let turn = std::mem::take(&mut self.turn);
         if turn == Turn::default() {
             return Vec::new();
@@ -134,7 +139,7 @@
                     parts.push(Part::default());
                 }
                 parts.iter_mut().next_back().into_iter().for_each(|part| part.mark = Some(mark));
-                stream.marks.insert(mark);
+                stream.marks.insert(mark, now);
                 counters.add("marks ordered", 1);
             }
             if parts.is_empty() {
--- a/crates/conductor/src/memory/reducer.rs
+++ b/crates/conductor/src/memory/reducer.rs
@@ -119,6 +119,7 @@
                 self.make_room(limits::REFUSED_ROOM);
             }
             Input::Said(conn, said) => self.said(conn, said),
+            Input::Spoilt(conn, cause) => self.unusable(conn, "messages spoilt", &cause.to_string()),
             Input::Ended(conn, ending) => self.ended(conn, ending),
             Input::Renewed(renewal) => self.renewed(renewal),
             Input::Watching(number) => self.watching(number),
@@ -145,7 +146,7 @@
 
     /// Ends the turn.
     fn close(&mut self) -> Vec<Effect> {
-        for (conn, message) in self.ordered.close(&self.names, &mut self.counters) {
+        for (conn, message) in self.ordered.close(self.now, &self.names, &mut self.counters) {
             self.effects.push(Effect::Write(conn, message));
         }
         self.follow();
@@ -226,7 +227,7 @@
                 self.balance.joined(now, proxy, zone, rate, fresh, &mut self.ordered);
             }
             (Said::Acknowledged { proxy, mark, took }, Party::Proxy(own)) if own == proxy => {
-                match self.ordered.answered(proxy, mark) {
+                match self.ordered.answered(now, proxy, mark, took) {
                     Some(mark) => {
                         self.counters.add("marks answered", 1);
                         self.balance.acknowledged(now, proxy, mark, took, &mut self.ordered);
@@ -255,7 +256,20 @@
                     self.counters.add("demand of proxies not joined", 1);
                 }
             }
-            _ => self.fault(conn, "faults: out of place", "a message out of place"),
+            _ => self.unusable(conn, "messages out of place", "out of place"),
+        }
+    }
+
+    /// A message that can't be used costs one who has joined that message alone, as those around it are good.
+    /// Of a stranger nothing is known that would make it worth keeping.
+    fn unusable(&mut self, conn: ConnId, counter: &'static str, cause: &str) {
+        match self.conns.get(&conn).copied() {
+            None => self.counters.add("messages of ended connections", 1),
+            Some((Party::Stranger, _)) => self.fault(conn, "faults: strangers", cause),
+            Some((party, peer)) => {
+                self.counters.add(counter, 1);
+                self.complain(format!("{peer} ({party:?}): a message dropped: {cause}"));
+            }
         }
     }
 
--- a/crates/conductor/src/run/limits.rs
+++ b/crates/conductor/src/run/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oatpitch::interface::Time;
+use oatpitch::interface::{Mandate, Time};
 
 /// Longest line at the conductor's address, in bytes, as the protocol has it.
 pub const LINE_LONGEST: usize = 1 << 20;
@@ -27,6 +27,18 @@
 pub const SOCKETS_SPARE: usize = 64;
 /// Fewer descriptors than this are no use.
 pub const SOCKETS_LEAST: usize = 64;
+/// Longest span of a sum, and exchanges or tries a second in one: beyond what proxies of one zone, or one
+/// machine, can have met, so a message that says more is spoilt.
+pub const SPAN_LONGEST: Time = Time::from_ms(600_000);
+pub const RATE_MOST: f64 = 100_000.0;
+/// A good try ends by its exchange's cut-off; means of them are noisy, but not twice as long.
+pub fn mean_longest(mandate: &Mandate) -> Time {
+    let longest = mandate.exchanges.iter().map(|terms| terms.cut_off).max().unwrap_or_default();
+    longest + longest
+}
+/// What a mark may seem to have taken beyond the time since it was ordered: turns go by ticks, and their time
+/// may be that of a bell that rang late.
+pub const TOOK_SLACK: Time = Time::from_ms(50);
 /// Longest name of a node, in bytes, as many names may wait for the reducer.
 pub const NAME_LONGEST: usize = 256;
 /// Wait after a failed accept, so that a full table of descriptors makes no busy loop.
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -89,6 +89,7 @@
         zones: posting.charge.zones.clone(),
         classes: posting.charge.classes.clone(),
         proxies: posting.charge.mandate.proxies,
+        longest: limits::mean_longest(&posting.charge.mandate),
     });
     let spare = (posting.sockets / limits::SOCKETS_SPARE_PART).min(limits::SOCKETS_SPARE);
     let nodes = posting.known.entries.len();
--- a/crates/conductor/src/wire/frame.rs
+++ b/crates/conductor/src/wire/frame.rs
@@ -31,6 +31,11 @@
         self.kept.capacity()
     }
 
+    /// What has come of a line that has not ended, once [`Lines::next`] has none.
+    pub fn rest(&self) -> &[u8] {
+        &self.kept
+    }
+
     pub fn next(&mut self) -> Result<Option<Bytes>, TooLong> {
         let end = self.kept[self.searched..].iter().position(|byte| *byte == b'\n');
         let Some(end) = end.map(|end| self.searched + end) else {
--- a/crates/conductor/src/wire/heard.rs
+++ b/crates/conductor/src/wire/heard.rs
@@ -4,7 +4,7 @@
 
 use oatpitch::interface::{ClassId, ProxyId, Time, ZoneId};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::from_ms;
 use crate::run::limits;
@@ -29,6 +29,13 @@
     Field(&'static str),
 }
 
+impl Unusable {
+    /// Whether the line is a message all the same, so that those around it can be read.
+    pub fn alone(self) -> bool {
+        matches!(self, Unusable::UnknownKind | Unusable::Field(_))
+    }
+}
+
 impl Display for Unusable {
     fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
         match self {
@@ -46,97 +53,155 @@
     pub zones: Vec<String>,
     pub classes: Vec<String>,
     pub proxies: u32,
+    /// The longest mean of good tries that can be true.
+    pub longest: Time,
 }
 
 type Read<T> = Result<T, Unusable>;
 
-/// The fields of one message.
-struct Fields<'a>(&'a Terms, Value);
+/// The fields that are read, as they stand in the line: what else is in it, however long, takes no room.
+#[derive(Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    t: Option<&'a RawValue>,
+    zone: Option<&'a RawValue>,
+    proxy: Option<&'a RawValue>,
+    weight: Option<&'a RawValue>,
+    fresh: Option<&'a RawValue>,
+    mark: Option<&'a RawValue>,
+    took_ms: Option<&'a RawValue>,
+    class: Option<&'a RawValue>,
+    server: Option<&'a RawValue>,
+    tries: Option<&'a RawValue>,
+    failed: Option<&'a RawValue>,
+    mean_ms: Option<&'a RawValue>,
+    span_ms: Option<&'a RawValue>,
+}
 
-impl Fields<'_> {
-    fn get<'v, T: Deserialize<'v>>(&'v self, name: &'static str) -> Read<T> {
-        T::deserialize(&self.1[name]).map_err(|_| Unusable::Field(name))
-    }
+type Field<'a> = (&'static str, Option<&'a RawValue>);
+
+fn get<'a, T: Deserialize<'a>>((name, value): Field<'a>) -> Read<T> {
+    let read = value.and_then(|value| serde_json::from_str(value.get()).ok());
+    read.ok_or(Unusable::Field(name))
+}
+
+/// What holds is taken.
+fn held<T>(value: T, name: &'static str, holds: impl Fn(&T) -> bool) -> Read<T> {
+    if holds(&value) { Ok(value) } else { Err(Unusable::Field(name)) }
+}
+
+fn figure(field: Field) -> Read<f64> {
+    held(get(field)?, field.0, |figure: &f64| figure.is_finite() && *figure >= 0.0)
+}
+
+fn text(field: Field) -> Read<String> {
+    held(get(field)?, field.0, |text: &String| text.len() <= limits::NAME_LONGEST)
+}
 
-    fn figure(&self, name: &'static str) -> Read<f64> {
-        let figure: f64 = self.get(name)?;
-        if figure.is_finite() && figure >= 0.0 { Ok(figure) } else { Err(Unusable::Field(name)) }
+fn named(field: Field, names: &[String]) -> Read<u16> {
+    let wanted = text(field)?;
+    let place = names.iter().position(|name| *name == wanted);
+    place.map(|place| place as u16).ok_or(Unusable::Field(field.0))
+}
+
+impl Fields<'_> {
+    fn zone(&self, terms: &Terms) -> Read<ZoneId> {
+        Ok(ZoneId(named(("zone", self.zone), &terms.zones)?))
     }
 
-    fn time(&self, name: &'static str) -> Read<Time> {
-        Ok(from_ms(self.figure(name)?))
+    fn class(&self, terms: &Terms) -> Read<ClassId> {
+        Ok(ClassId(named(("class", self.class), &terms.classes)?))
     }
 
-    fn named(&self, name: &'static str, names: &[String]) -> Read<u16> {
-        let wanted: &str = self.get(name)?;
-        let place = names.iter().position(|name| name == wanted);
-        place.map(|place| place as u16).ok_or(Unusable::Field(name))
+    fn proxy(&self, terms: &Terms) -> Read<ProxyId> {
+        let known = |number: &u16| u32::from(*number) < terms.proxies;
+        Ok(ProxyId(held(get(("proxy", self.proxy))?, "proxy", known)?))
     }
 
-    fn zone(&self) -> Read<ZoneId> {
-        Ok(ZoneId(self.named("zone", &self.0.zones)?))
+    fn span(&self) -> Read<Time> {
+        let span = from_ms(figure(("span_ms", self.span_ms))?);
+        held(span, "span_ms", |span| Time::default() < *span && *span <= limits::SPAN_LONGEST)
     }
 
-    fn proxy(&self) -> Read<ProxyId> {
-        let number: u16 = self.get("proxy")?;
-        if u32::from(number) < self.0.proxies { Ok(ProxyId(number)) } else { Err(Unusable::Field("proxy")) }
+    /// A count within a span that can be true: one that can't would outweigh all others.
+    fn count(&self, (name, value): Field, span: Time) -> Read<u32> {
+        let most = limits::RATE_MOST * span.seconds().max(1.0);
+        held(get((name, value))?, name, |count: &u32| f64::from(*count) <= most)
     }
 }
 
 impl Said {
     pub fn decode(line: &[u8], terms: &Terms) -> Read<Said> {
-        let value: Value = serde_json::from_slice(line).map_err(|_| Unusable::NoObject)?;
-        if !value.is_object() {
+        // An array would be read as the fields in their order.
+        if !opens_object(line) {
             return Err(Unusable::NoObject);
         }
-        let from = Fields(terms, value);
-        match from.get::<&str>("t").map_err(|_| Unusable::UnknownKind)? {
+        let from: Fields = serde_json::from_slice(line).map_err(|cause| match cause.is_data() {
+            // A field that stands twice.
+            true => Unusable::UnknownKind,
+            false => Unusable::NoObject,
+        })?;
+        match text(("t", from.t)).map_err(|_| Unusable::UnknownKind)?.as_str() {
             "probe" => Ok(Said::Probe),
-            "agent" => Ok(Said::Collector { zone: from.zone()? }),
+            "agent" => Ok(Said::Collector { zone: from.zone(terms)? }),
             "hello" => Ok(Said::Joined {
-                proxy: from.proxy()?,
-                zone: from.zone()?,
-                rate: from.figure("weight")?,
-                fresh: from.get("fresh")?,
+                proxy: from.proxy(terms)?,
+                zone: from.zone(terms)?,
+                rate: held(figure(("weight", from.weight))?, "weight", |rate| *rate <= limits::RATE_MOST)?,
+                fresh: get(("fresh", from.fresh))?,
             }),
             "ack" => Ok(Said::Acknowledged {
-                proxy: from.proxy()?,
-                mark: from.get("mark")?,
-                took: from.time("took_ms")?,
+                proxy: from.proxy(terms)?,
+                mark: get(("mark", from.mark))?,
+                took: from_ms(figure(("took_ms", from.took_ms))?),
             }),
             "outcomes" => {
-                let (tries, lost): (u32, u32) = (from.get("tries")?, from.get("failed")?);
-                if lost > tries {
-                    return Err(Unusable::Field("failed"));
-                }
+                let span = from.span()?;
+                let tries = from.count(("tries", from.tries), span)?;
+                let lost = held(get(("failed", from.failed))?, "failed", |lost: &u32| *lost <= tries)?;
                 // Without a good try there is no mean.
-                let none = lost == tries && from.1["mean_ms"].is_null();
-                let mean = if none { Time::default() } else { from.time("mean_ms")? };
-                let (node, span): (String, _) = (from.get("server")?, from.time("span_ms")?);
-                if node.len() > limits::NAME_LONGEST {
-                    return Err(Unusable::Field("server"));
-                }
-                Ok(Said::Met { zone: from.zone()?, node, tries, lost, mean, span })
+                let none = lost == tries && from.mean_ms.is_none_or(|mean| mean.get() == "null");
+                let mean = if none { Time::default() } else { from_ms(figure(("mean_ms", from.mean_ms))?) };
+                let mean = held(mean, "mean_ms", |mean| *mean <= terms.longest)?;
+                Ok(Said::Met {
+                    zone: from.zone(terms)?,
+                    node: text(("server", from.server))?,
+                    tries,
+                    lost,
+                    mean,
+                    span,
+                })
             }
             // More may be lost than came within the same span: what is lost came earlier.
-            "demand" => Ok(Said::Asked {
-                proxy: from.proxy()?,
-                class: ClassId(from.named("class", &terms.classes)?),
-                exchanges: from.get("tries")?,
-                lost: from.get("failed")?,
-                span: from.time("span_ms")?,
-            }),
+            "demand" => {
+                let span = from.span()?;
+                let (exchanges, lost) = (("tries", from.tries), ("failed", from.failed));
+                let (exchanges, lost) = (from.count(exchanges, span)?, from.count(lost, span)?);
+                Ok(Said::Asked {
+                    proxy: from.proxy(terms)?,
+                    class: from.class(terms)?,
+                    exchanges,
+                    lost,
+                    span,
+                })
+            }
             _ => Err(Unusable::UnknownKind),
         }
     }
 }
 
+/// Whether a line, or what has come of it, can be the beginning of an object.
+pub fn opens_object(line: &[u8]) -> bool {
+    line.trim_ascii_start().first().is_none_or(|byte| *byte == b'{')
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     fn terms() -> Terms {
-        Terms { zones: vec!["a".into(), "b".into()], classes: vec!["lookup".into()], proxies: 20 }
+        let longest = Time::from_ms(4_000);
+        Terms { zones: vec!["a".into(), "b".into()], classes: vec!["lookup".into()], proxies: 20, longest }
     }
 
     #[test]
@@ -192,20 +257,53 @@
             (r#"{"t":"hello","proxy":-1,"zone":"a","weight":1,"fresh":true}"#, Field("proxy")),
             (r#"{"t":"hello","proxy":1,"zone":"a","weight":-1,"fresh":true}"#, Field("weight")),
             (r#"{"t":"hello","proxy":1,"zone":"a","weight":1}"#, Field("fresh")),
-            (r#"{"t":"hello","proxy":1,"zone":"a","weight":1e999,"fresh":true}"#, NoObject),
+            (r#"{"t":"hello","proxy":1,"zone":"a","weight":1e999,"fresh":true}"#, Field("weight")),
+            (r#"{"t":"hello","proxy":1,"zone":"a","weight":1e30,"fresh":true}"#, Field("weight")),
+            (r#"{"t":"probe","t":"probe"}"#, UnknownKind),
+            (r#"["probe"]"#, NoObject),
+            (r#"{"t":"ack","proxy":1,"t{"t":"demand","proxy":1}"#, NoObject),
             (r#"{"t":"ack","proxy":1,"mark":1.5,"took_ms":1}"#, Field("mark")),
             (r#"{"t":"ack","proxy":1,"mark":1,"took_ms":"1"}"#, Field("took_ms")),
             (r#"{"t":"demand","proxy":1,"class":"x","tries":1,"failed":0,"span_ms":1}"#, Field("class")),
-            (
-                r#"{"t":"outcomes","zone":"a","server":"s","tries":1,"failed":2,"mean_ms":1,"span_ms":1}"#,
-                Field("failed"),
-            ),
-            (
-                r#"{"t":"outcomes","zone":"a","server":"s","tries":2,"failed":1,"span_ms":1}"#,
-                Field("mean_ms"),
-            ),
         ] {
             assert_eq!(Said::decode(line.as_bytes(), &terms()), Err(cause), "{line:.80}");
         }
     }
+
+    /// Guards against one spoilt figure outweighing all good ones: each figure of a sum in turn is missing, of
+    /// another type, or such as can't be true.
+    #[test]
+    fn figures_that_cannot_be_true_are_not_taken() {
+        let sums = ["tries", "failed", "mean_ms", "span_ms", "zone", "server"];
+        let usage = ["tries", "failed", "span_ms", "class", "proxy"];
+        let outcomes =
+            r#"{"t":"outcomes","zone":"a","server":"s","tries":2,"failed":1,"mean_ms":4000,"span_ms":1}"#;
+        let demand = r#"{"t":"demand","proxy":1,"class":"lookup","tries":1,"failed":0,"span_ms":1}"#;
+        for (line, names) in [(outcomes, &sums[..]), (demand, &usage[..])] {
+            let good: serde_json::Value = serde_json::from_str(line).expect("JSON");
+            assert!(Said::decode(line.as_bytes(), &terms()).is_ok());
+            for name in names {
+                let values = ["-3", "1e30", "38654705664", "4000000000", "[1]", r#""nan""#, "null", "{}"];
+                for value in values {
+                    // Any text of bearable length may be a node's name.
+                    if (*name, value) == ("server", r#""nan""#) {
+                        continue;
+                    }
+                    let mut bad = good.clone();
+                    bad[name] = serde_json::from_str(value).expect("JSON");
+                    let said = Said::decode(bad.to_string().as_bytes(), &terms());
+                    assert!(matches!(said, Err(Unusable::Field(_))), "{bad} was taken as {said:?}");
+                }
+            }
+        }
+        for (line, cause) in [
+            (outcomes.replace("\"failed\":1", "\"failed\":3"), "failed"),
+            (outcomes.replace("4000", "4000.1"), "mean_ms"),
+            (outcomes.replace("\"span_ms\":1", "\"span_ms\":0"), "span_ms"),
+        ] {
+            assert_eq!(Said::decode(line.as_bytes(), &terms()), Err(Unusable::Field(cause)), "{line}");
+        }
+        let none = outcomes.replace("\"failed\":1", "\"failed\":2").replace("4000", "null");
+        assert!(Said::decode(none.as_bytes(), &terms()).is_ok(), "without a good try there is no mean");
+    }
 }
--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -16,7 +16,7 @@
 use tower::Service;
 
 use super::frame::Lines;
-use super::heard::{Said, Terms, Unusable};
+use super::heard::{Said, Terms, Unusable, opens_object};
 use crate::memory::{ConnId, Ending, Input};
 use crate::run::limits;
 
@@ -93,15 +93,19 @@
                     Ok(Some(line)) => Said::decode(&line, &self.terms),
                     Err(_) => Err(Unusable::TooLong),
                 };
-                match said {
-                    Ok(said) => {
-                        if self.inbox.send(Input::Said(conn, said)).await.is_err() {
-                            return Ending::Closed;
-                        }
-                    }
+                let input = match said {
+                    Ok(said) => Input::Said(conn, said),
+                    Err(cause) if cause.alone() => Input::Spoilt(conn, cause),
                     Err(cause) => return Ending::Unusable(cause),
+                };
+                if self.inbox.send(input).await.is_err() {
+                    return Ending::Closed;
                 }
             }
+            // What can't become a message need not end first, which it may never do.
+            if !opens_object(lines.rest()) {
+                return Ending::Unusable(Unusable::NoObject);
+            }
         }
     }
 }
