Connections that do not join are ended after 1.5 s; buffers and places by the limits stated

An eighth of the descriptors was kept back twice (run/mod.rs), so 256 took 192 connections and then no more, proxies included. memory_mb was not read; buffers alone could take 32 MiB of a stated 32.

Now a stranger is ended 1.5 s after it was taken. Where places run short the oldest go first, but none before its first message can have come: a test with 400 proxies and 430 descriptors found newcomers ended before they could say who they were. A place is free again once its socket is gone, so the stated number is never passed. Buffers and documents take shares of the memory stated.

Tests: 400 proxies in 32 MB and 430 descriptors beside strangers; silent, half, endless and asking strangers; the shares of the lowest limits.

--- a/crates/conductor/src/memory/reducer.rs
+++ b/crates/conductor/src/memory/reducer.rs
@@ -49,7 +49,7 @@
     pub known: News,
     pub discovery: SocketAddr,
     /// The most connections, strangers included.
-    pub conns_most: usize,
+    pub places: usize,
 }
 
 pub struct Memory {
@@ -57,8 +57,9 @@
     ordered: Ordered,
     names: Names,
     conns: BTreeMap<ConnId, (Party, SocketAddr)>,
-    conns_most: usize,
-    strangers: BTreeSet<ConnId>,
+    places: usize,
+    /// Those that have not joined, and since when they are here.
+    strangers: BTreeMap<ConnId, Time>,
     /// The roster speaks only when the module asks.
     asked: bool,
     watch: Watch,
@@ -82,8 +83,8 @@
             ordered,
             names: Names::default(),
             conns: BTreeMap::new(),
-            conns_most: start.conns_most,
-            strangers: BTreeSet::new(),
+            places: start.places,
+            strangers: BTreeMap::new(),
             asked,
             watch: Watch { wanted: !asked, ..Watch::default() },
             discovery: start.discovery,
@@ -107,6 +108,7 @@
         for input in inputs {
             self.take(input);
         }
+        self.dismiss();
         self.close()
     }
 
@@ -116,7 +118,7 @@
             Input::Opened(conn, peer) => self.opened(conn, peer),
             Input::Refused => {
                 self.counters.add("connections refused", 1);
-                self.make_room(limits::REFUSED_ROOM);
+                self.end_oldest(limits::REFUSED_ROOM);
             }
             Input::Said(conn, said) => self.said(conn, said),
             Input::Spoilt(conn, cause) => self.unusable(conn, "messages spoilt", &cause.to_string()),
@@ -161,7 +163,7 @@
         }
         self.effects.extend(orders);
         let again = self.watch.again;
-        let wake = self.ordered.bells.first().copied().into_iter().chain(again).min();
+        let wake = self.ordered.bells.first().copied().into_iter().chain(again).chain(self.dismissal()).min();
         self.effects.extend(wake.map(Effect::Wake));
         std::mem::take(&mut self.effects)
     }
@@ -186,17 +188,37 @@
     fn opened(&mut self, conn: ConnId, peer: SocketAddr) {
         self.counters.add("connections opened", 1);
         self.conns.insert(conn, (Party::Stranger, peer));
-        self.strangers.insert(conn);
+        self.strangers.insert(conn, self.now);
         self.counters.peak("connections at most", self.conns.len() as u64);
-        if self.conns.len() > self.conns_most {
-            self.make_room(1);
+    }
+
+    /// Strangers leave some places free; where those that joined have taken nearly all, half of what is left.
+    fn crowded(&self) -> bool {
+        let left = self.places.saturating_sub(self.conns.len() - self.strangers.len());
+        let free = self.places / limits::SOCKETS_FREE_PART;
+        self.strangers.len() > left.saturating_sub(free).max(left / 2)
+    }
+
+    /// When the oldest stranger is to be ended.
+    fn dismissal(&self) -> Option<Time> {
+        let patience = if self.crowded() { limits::NEWCOMER } else { limits::STRANGER_LONGEST };
+        self.strangers.first_key_value().map(|(_, since)| *since + patience)
+    }
+
+    /// Ends those that have had their time to join; who only asked for a sign of life has had the answer.
+    fn dismiss(&mut self) {
+        while self.dismissal().is_some_and(|due| due <= self.now) {
+            let counter = if self.crowded() { "strangers ended for room" } else { "strangers ended in time" };
+            self.counters.add(counter, 1);
+            self.end_oldest(1);
         }
     }
 
-    /// Ends connections that never named themselves, the oldest first.
-    fn make_room(&mut self, count: usize) {
-        let oldest: Vec<ConnId> = self.strangers.iter().take(count).copied().collect();
-        self.counters.add("strangers ended for room", oldest.len() as u64);
+    /// Ends connections that have not joined, the oldest first, once their first message can have come.
+    fn end_oldest(&mut self, count: usize) {
+        let old = |(_, since): &(&ConnId, &Time)| **since + limits::NEWCOMER <= self.now;
+        let oldest: Vec<ConnId> =
+            self.strangers.iter().take_while(old).take(count).map(|(conn, _)| *conn).collect();
         oldest.into_iter().for_each(|conn| self.drop_conn(conn));
     }
 
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -334,7 +334,7 @@
             seed: 7,
             known: list(5, true, &[0, 1, 2]),
             discovery: address(1),
-            conns_most: 8,
+            places: 8,
         };
         let (memory, effects) = Memory::begin(Time(1_000_000), start);
         let (written, ended) = (BTreeMap::new(), BTreeSet::new());
@@ -528,20 +528,57 @@
     assert_eq!((lines as u32, desk.counted("log lines left out")), (limits::FAULTS_LOGGED, 81));
 }
 
-/// Guards against strangers that say nothing using up the descriptors of those that have work here.
+/// Guards against strangers that say nothing using up the descriptors of those that have work here, and against
+/// a newcomer being taken for one before its first message can have come.
 #[test]
 fn the_oldest_strangers_make_room() {
     let mut desk = Desk::new(false);
+    let wait = |desk: &mut Desk| desk.turn(limits::NEWCOMER.0 / 10, []);
     desk.open(0, []);
     desk.open(1, [hello(0)]);
     desk.open(2, [Said::Collector { zone: ZoneId(0) }]);
     (3..9).for_each(|conn| desk.open(conn, [Said::Probe]));
+    assert!(desk.ended.is_empty());
+    wait(&mut desk);
     assert_eq!(desk.ended, BTreeSet::from([ConnId(0)]));
     (9..12).for_each(|conn| desk.open(conn, []));
-    assert_eq!(desk.ended, BTreeSet::from([0, 3, 4, 5].map(ConnId)));
     desk.say(9, hello(1));
+    wait(&mut desk);
+    assert_eq!(desk.ended, BTreeSet::from([0, 3, 4, 5].map(ConnId)));
     desk.pass(500);
     assert_eq!(desk.held(9).tables["quote"].len(), 3);
+    // With nearly all places taken by those that joined, a newcomer still has the time to join.
+    [6, 7, 10, 11].into_iter().for_each(|conn| desk.say(conn, Said::Collector { zone: ZoneId(0) }));
+    desk.open(13, []);
+    assert!(desk.ended.contains(&ConnId(8)) && !desk.ended.contains(&ConnId(13)));
+    desk.open(14, []);
+    wait(&mut desk);
+    assert!(desk.ended.contains(&ConnId(13)) && !desk.ended.contains(&ConnId(14)));
+}
+
+/// Guards against connections held for good by who never joins, whether it says nothing or asks for a sign of
+/// life again and again; who has joined is kept.
+#[test]
+fn strangers_are_ended_in_time() {
+    let mut desk = Desk::new(false);
+    desk.open(0, [hello(0)]);
+    desk.open(1, []);
+    desk.open(2, [Said::Probe]);
+    desk.open(3, [Said::Probe]);
+    let opened = desk.now;
+    let due = opened + limits::STRANGER_LONGEST;
+    assert!(limits::STRANGER_LONGEST >= Time::from_ms(1_000) && due < opened + Time::from_ms(2_500));
+    desk.turn(limits::STRANGER_LONGEST.0 / 10 - 10, [Input::Said(ConnId(2), Said::Probe)]);
+    assert!(desk.ended.is_empty());
+    desk.say(3, Said::Collector { zone: ZoneId(0) });
+    // Nothing else need come: it asks to be woken for it.
+    for _ in 0..200 {
+        let wakes = desk.effects.iter().rev().find(|effect| matches!(effect, Effect::Wake(_)));
+        let Some(Effect::Wake(at)) = wakes.cloned() else { panic!("no wake") };
+        desk.turn((at.max(desk.now) - desk.now).0 / 10, []);
+    }
+    assert_eq!(desk.ended, BTreeSet::from([1, 2].map(ConnId)));
+    assert_eq!(desk.counted("strangers ended in time"), 2);
 }
 
 #[test]
@@ -650,7 +687,7 @@
     let mut desk = Desk::new(false);
     desk.open(0, [hello(0)]);
     (1..6).for_each(|conn| desk.open(conn, []));
-    desk.turn(1, [Input::Refused]);
+    desk.turn(limits::NEWCOMER.0 / 10, [Input::Refused]);
     assert_eq!(desk.ended, BTreeSet::from([1, 2, 3, 4, 5].map(ConnId)));
     desk.turn(1, [Input::Refused]);
     assert_eq!((desk.ended.len(), desk.counted("connections refused")), (5, 2));
--- a/crates/conductor/src/run/config.rs
+++ b/crates/conductor/src/run/config.rs
@@ -10,9 +10,6 @@
 use super::limits;
 use crate::wire::roster::News;
 
-/// Descriptors where no limit is stated.
-const SOCKETS: usize = 1024;
-
 /// When the configuration is read: at the start, or anew while running.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Occasion {
@@ -27,6 +24,7 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
+    pub memory_mb: usize,
     pub sockets: usize,
     pub peers: Peers,
     pub known: News,
@@ -47,6 +45,7 @@
         let keys = [
             ("name", self.name == other.name),
             ("listen", self.listen == other.listen),
+            ("limits.memory_mb", self.memory_mb == other.memory_mb),
             ("limits.sockets", self.sockets == other.sockets),
             ("peers", self.peers == other.peers),
             ("settings", self.charge == other.charge),
@@ -78,23 +77,27 @@
     };
     let (listen, discovery) = (word("NODE_LISTEN", "listen")?, word("NODE_DISCOVERY", "discovery")?);
     let seed = config["seed"].as_str().ok_or_else(|| anyhow!("seed: missing, or no text"))?;
-    let sockets = match &config["limits"]["sockets"] {
-        Value::Null => SOCKETS,
-        value => value.as_u64().ok_or_else(|| anyhow!("limits.sockets: no whole number: {value}"))? as usize,
+    let limit = |key: &'static str, usual: usize, least: usize| {
+        let value = &config["limits"][key];
+        let stated = if value.is_null() { Some(usual as u64) } else { value.as_u64() };
+        match stated.ok_or_else(|| anyhow!("limits.{key}: no whole number: {value}"))? as usize {
+            stated if stated < least => bail!("limits.{key}: {stated} is too little, {least} are needed"),
+            stated => Ok(stated),
+        }
     };
+    let memory_mb = limit("memory_mb", limits::MEMORY, limits::MEMORY_LEAST)?;
+    let sockets = limit("sockets", limits::SOCKETS, limits::SOCKETS_LEAST)?;
     let charge = oatpitch_mandate::from_json(&config["settings"])?;
     let known = match &config["known"] {
         Value::Null => News::default(),
-        value => News::read(value.clone(), &charge.zones).context("known")?,
+        value => News::decode(value.to_string().as_bytes(), &charge.zones).context("known")?,
     };
-    if sockets < limits::SOCKETS_LEAST {
-        bail!("limits.sockets: {sockets} are too few");
-    }
     Ok(Posting {
         name: word("NODE_NAME", "name")?,
         listen: address(&listen).context("listen")?,
         discovery: address(&discovery).context("discovery")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: no hexadecimal number: {seed:?}"))?,
+        memory_mb,
         sockets,
         peers: peers(config)?,
         known,
--- a/crates/conductor/src/run/limits.rs
+++ b/crates/conductor/src/run/limits.rs
@@ -10,22 +10,51 @@
 pub const READ_ROOM: usize = 4 << 10;
 /// Bytes that may wait for one connection beyond what the system holds: minutes of usual flushes.
 pub const OUTBOX_MOST: usize = 1 << 20;
-/// Bytes held for one connection, either way, beyond which all connections share what follows: several usual
-/// messages, and little for each of many strangers.
-pub const BUFFER_USUAL: usize = 16 << 10;
-/// Bytes that buffers beyond the usual may hold together: a sixth of the least memory a conductor is given.
-pub const BUFFERS_MOST: usize = 32 << 20;
+/// Memory where none is stated, and the least that is of use, in MiB: a conductor of thirty nodes and a few
+/// hundred proxies holds 2, and the shares below must leave it the rest.
+pub const MEMORY: usize = 192;
+pub const MEMORY_LEAST: usize = 16;
+
+/// What the memory stated leaves room for, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Held for one connection, either way, beyond which all connections share what follows: several usual
+    /// messages, and for all together at most an eighth of the memory.
+    pub usual: usize,
+    /// What buffers beyond the usual may hold together: an eighth; one of the longest lines always fits.
+    pub shared: usize,
+    /// The longest document of discovery: five thousand entries under the least memory, which take several
+    /// times their length while they are read.
+    pub roster: usize,
+}
+
+pub fn room(memory_mb: usize, sockets: usize) -> Room {
+    let memory = memory_mb.saturating_mul(1 << 20);
+    Room {
+        usual: (memory / 16 / sockets.max(1)).clamp(READ_ROOM, 16 << 10),
+        shared: memory / 8,
+        roster: (memory / 32).clamp(1 << 20, 4 << 20),
+    }
+}
+
 /// Inputs that may wait for the reducer; readers wait beyond that.
 pub const INBOX_MOST: usize = 4096;
 /// Lateness of a timer that is not told, as it is the timer's own: they go by whole milliseconds.
 pub const TIMER_LATE: Time = Time::from_ms(5);
 /// Inputs taken in one turn at most, so that what they ask for is written in between.
 pub const TURN_MOST: usize = 1024;
-/// Part of the descriptors kept for listening, discovery, datagrams and logs, and as many again for
-/// connections that the reducer has not seen yet; and how many of each suffice.
-pub const SOCKETS_SPARE_PART: usize = 8;
-pub const SOCKETS_SPARE: usize = 64;
-/// Fewer descriptors than this are no use.
+/// Descriptors that are no connections: standard streams 3, the runtime 3, signals 2, listening, datagrams,
+/// two watches and a fetch, the configuration read anew; the rest for what a system adds.
+pub const SOCKETS_OWN: usize = 16;
+/// Part of the connections kept free of strangers, so that who comes next is taken at once.
+pub const SOCKETS_FREE_PART: usize = 16;
+/// So long a newcomer keeps its place however short they are, as its first message may be on its way.
+pub const NEWCOMER: Time = Time::from_ms(100);
+/// A connection that has not joined by then is ended: that is allowed after 1 s, and a close is owed within
+/// 3 s of connecting, of which some may go by before it is taken.
+pub const STRANGER_LONGEST: Time = Time::from_ms(1_500);
+/// Descriptors where no limit is stated; fewer than the least are no use.
+pub const SOCKETS: usize = 1024;
 pub const SOCKETS_LEAST: usize = 64;
 /// Longest span of a sum, and exchanges or tries a second in one: beyond what proxies of one zone, or one
 /// machine, can have met, so a message that says more is spoilt.
@@ -41,7 +70,7 @@
 pub const TOOK_SLACK: Time = Time::from_ms(50);
 /// Longest name of a node, in bytes, as many names may wait for the reducer.
 pub const NAME_LONGEST: usize = 256;
-/// Wait after a failed accept, so that a full table of descriptors makes no busy loop.
+/// Wait after a failed accept, or for room, so that a full table of descriptors makes no busy loop.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Strangers ended for each failed accept, so that a proxy behind a queue of them is in within a second.
 pub const REFUSED_ROOM: usize = 8;
@@ -50,8 +79,6 @@
 /// Without a byte for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
 /// must be heard within 6 s in all.
 pub const ROSTER_SILENCE: Duration = Duration::from_millis(3_500);
-/// Longest document of discovery, in bytes: twenty thousand entries.
-pub const ROSTER_LONGEST: usize = 4 << 20;
 /// First wait before discovery is dialled again, and how often it doubles while that fails: dialling an agent
 /// costs little, and a drain is not heard meanwhile.
 pub const RECONNECT_FIRST: Time = Time::from_ms(100);
@@ -61,3 +88,23 @@
 /// Log lines about faults of others within a span; the rest is only counted.
 pub const FAULTS_LOGGED: u32 = 20;
 pub const FAULTS_SPAN: Time = Time::from_ms(10_000);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against buffers that fit only a large machine: whatever is stated, what connections and documents
+    /// may hold leaves the rest of the conductor its part.
+    #[test]
+    fn buffers_fit_the_memory_stated() {
+        for memory in [32, 48, 192, 4096] {
+            for sockets in [SOCKETS_LEAST, 256, 1024] {
+                let room = room(memory, sockets);
+                // Either way of each connection; a document is read by a watch and a fetch at once.
+                let all = 2 * room.usual * sockets + room.shared + 2 * 3 * room.roster;
+                assert!(all <= (memory << 20) * 2 / 3, "{all} of {memory} MiB at {sockets}: {room:?}");
+                assert!(room.shared > 2 * LINE_LONGEST && room.usual >= READ_ROOM);
+            }
+        }
+    }
+}
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -16,7 +16,7 @@
 use slog::{Logger, error, info, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::Instant;
 use tower::ServiceExt;
@@ -55,6 +55,7 @@
     inbox: mpsc::Sender<Input>,
     conns: Conns,
     terms: Rc<Terms>,
+    room: limits::Room,
     discovery: SocketAddr,
     watches: BTreeMap<u64, AbortHandle>,
     fetch: Option<AbortHandle>,
@@ -91,16 +92,15 @@
         proxies: posting.charge.mandate.proxies,
         longest: limits::mean_longest(&posting.charge.mandate),
     });
-    let spare = (posting.sockets / limits::SOCKETS_SPARE_PART).min(limits::SOCKETS_SPARE);
-    let nodes = posting.known.entries.len();
-    let conns_most = posting.sockets - 2 * spare;
+    let (room, nodes) = (limits::room(posting.memory_mb, posting.sockets), posting.known.entries.len());
+    let places = posting.sockets - limits::SOCKETS_OWN;
     let start = Start {
         mandate: posting.charge.mandate,
         classes: posting.charge.classes,
         seed: posting.seed,
         known: posting.known,
         discovery: posting.discovery,
-        conns_most,
+        places,
     };
     let mut turned = clock.now();
     let (mut memory, effects) = Memory::begin(turned, start);
@@ -115,6 +115,7 @@
         inbox: inbox.clone(),
         conns: Conns::default(),
         terms: terms.clone(),
+        room,
         discovery: posting.discovery,
         watches: BTreeMap::new(),
         fetch: None,
@@ -123,8 +124,8 @@
         wake: None,
     };
     info!(log, "listening on {}, seed {:016x}, nodes known: {nodes}", posting.listen, posting.seed);
-    let reader = Reader { terms, inbox: inbox.clone(), budget: Budget::default() };
-    spawn_local(accept(listener, reader, hands.conns.clone(), conns_most + spare));
+    let reader = Reader { terms, inbox: inbox.clone(), budget: Budget::of(room) };
+    spawn_local(accept(listener, reader, hands.conns.clone(), Rc::new(Semaphore::new(places))));
     if let Some(socket) = datagrams {
         spawn_local(hear_peers(socket, hands.peers.each.clone(), inbox.clone()));
     }
@@ -207,12 +208,13 @@
 
     fn watch(&mut self, number: u64, since: u64) {
         let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
+        let longest = self.room.roster;
         let task = async move {
             let ended = async {
                 let body = roster::open(address, since).await?;
                 let _ = inbox.send(Input::Watching(number)).await;
                 let pass_on = async |news| _ = inbox.send(Input::News(Some(number), news)).await;
-                roster::follow(body, &terms.zones, pass_on).await
+                roster::follow(body, &terms.zones, longest, pass_on).await
             };
             let ended = ended.await;
             let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
@@ -224,8 +226,9 @@
     /// One asked for before is given up.
     fn fetch(&mut self) {
         let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
+        let longest = self.room.roster;
         let task = spawn_local(async move {
-            let heard = match roster::fetch(address, &terms.zones).await {
+            let heard = match roster::fetch(address, &terms.zones, longest).await {
                 Ok(news) => Input::News(None, news),
                 Err(trouble) => Input::NewsEnded(None, format!("{trouble:#}")),
             };
@@ -246,13 +249,14 @@
     }
 }
 
-/// Takes connections as they come, while there is room for more.
-async fn accept(listener: TcpListener, reader: Reader, conns: Conns, most: usize) {
+/// Takes connections as they come, while there is a place for more; one is free again once its socket is.
+async fn accept(listener: TcpListener, reader: Reader, conns: Conns, places: Rc<Semaphore>) {
     let next = Cell::new(0);
     loop {
-        // The reducer makes room among strangers once it has seen them.
-        if conns.borrow().len() >= most {
-            tokio::time::sleep(limits::ACCEPT_PAUSE).await;
+        if places.available_permits() == 0 {
+            // The reducer makes room among strangers; who waits in the queue is not to wait for more than that.
+            let _ = reader.inbox.send(Input::Refused).await;
+            let _ = tokio::time::timeout(limits::ACCEPT_PAUSE, places.acquire()).await;
             continue;
         }
         let Ok((socket, peer)) = listener.accept().await else {
@@ -265,16 +269,43 @@
         // A connection already broken tells so when it is read.
         let _ = socket.set_nodelay(true);
         let (read, outbox, writing) = stream::split(socket, &reader.budget);
+        let held = Rc::new(Place::take(&places));
         // The memory hears of it before anything that it says, and can end it from then on.
         let Ok(opened) = reader.inbox.reserve().await else { return };
         opened.send(Input::Opened(conn, peer));
         let reading = reader.clone().oneshot((conn, read));
-        let tasks = [spawn_local(async move { _ = reading.await }), spawn_local(writing)];
+        let (held, also_held) = (held.clone(), held);
+        let reading = spawn_local(async move {
+            let _held = held;
+            let _ = reading.await;
+        });
+        let writing = spawn_local(async move {
+            let _held = also_held;
+            writing.await;
+        });
+        let tasks = [reading, writing];
         let tasks = tasks.map(|task| task.abort_handle());
         conns.borrow_mut().insert(conn, Conn { outbox, tasks });
     }
 }
 
+/// One of the descriptors for connections, until both halves of its socket are gone.
+struct Place(Rc<Semaphore>);
+
+impl Place {
+    fn take(places: &Rc<Semaphore>) -> Place {
+        // Only the accepting task takes any, and looks before.
+        places.try_acquire().into_iter().for_each(tokio::sync::SemaphorePermit::forget);
+        Place(places.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.add_permits(1);
+    }
+}
+
 async fn hear_peers(socket: Rc<UdpSocket>, each: Vec<std::net::SocketAddr>, inbox: mpsc::Sender<Input>) {
     loop {
         let Ok((from, bytes)) = peers::next(&socket).await else {
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use oatpitch::interface::{Standing, Time};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 use tower::{Service, ServiceExt, service_fn};
 
@@ -41,12 +41,14 @@
     pub started: Option<Time>,
 }
 
+/// Entries as they stand in it: each is read by itself.
 #[derive(Deserialize)]
-struct Document {
+struct Document<'a> {
     rev: u64,
     #[serde(default)]
     all: bool,
-    targets: Vec<Value>,
+    #[serde(borrow)]
+    targets: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -67,12 +69,7 @@
 
 impl News {
     pub fn decode(document: &[u8], zones: &[String]) -> Result<News> {
-        let value = serde_json::from_slice(document).context("no JSON")?;
-        News::read(value, zones)
-    }
-
-    pub fn read(value: Value, zones: &[String]) -> Result<News> {
-        let document: Document = serde_json::from_value(value).context("no list of nodes")?;
+        let document: Document = serde_json::from_slice(document).context("no list of nodes")?;
         let found = document.targets.len();
         let entries: Vec<Entry> =
             document.targets.into_iter().filter_map(|target| Entry::read(target, zones)).collect();
@@ -82,8 +79,8 @@
 }
 
 impl Entry {
-    fn read(value: Value, zones: &[String]) -> Option<Entry> {
-        let target: Target = serde_json::from_value(value).ok()?;
+    fn read(entry: &RawValue, zones: &[String]) -> Option<Entry> {
+        let target: Target = serde_json::from_str(entry.get()).ok()?;
         let standing = match target.state.as_str() {
             "active" => Standing::Ready,
             "leaving" => Standing::Draining,
@@ -130,8 +127,8 @@
 }
 
 /// The whole list, once.
-pub async fn fetch(address: SocketAddr, zones: &[String]) -> Result<News> {
-    let body = Limited::new(ask(address, "/catalog/members").await?, limits::ROSTER_LONGEST);
+pub async fn fetch(address: SocketAddr, zones: &[String], longest: usize) -> Result<News> {
+    let body = Limited::new(ask(address, "/catalog/members").await?, longest);
     let read = tokio::time::timeout(limits::ROSTER_SILENCE, body.collect());
     let body = read.await.context("no end of the list in time")?.map_err(|trouble| anyhow!(trouble))?;
     News::decode(&body.to_bytes(), zones)
@@ -143,8 +140,13 @@
 }
 
 /// Hears what a watch tells, until it ends or falls silent.
-pub async fn follow(mut body: Incoming, zones: &[String], mut heard: impl AsyncFnMut(News)) -> Result<()> {
-    let mut lines = Lines::new(limits::ROSTER_LONGEST);
+pub async fn follow(
+    mut body: Incoming,
+    zones: &[String],
+    longest: usize,
+    mut heard: impl AsyncFnMut(News),
+) -> Result<()> {
+    let mut lines = Lines::new(longest);
     while let Some(frame) = quiet_for(limits::ROSTER_SILENCE, body.frame()).await? {
         let Ok(data) = frame.context("the watch broke")?.into_data() else { continue };
         lines.room().extend_from_slice(&data);
--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -22,8 +22,14 @@
 
 /// Bytes that all connections hold beyond what each may hold anyway, so that many that send or take nothing
 /// but parts of long lines cannot fill the memory.
-#[derive(Clone, Default)]
-pub struct Budget(Rc<Cell<usize>>);
+#[derive(Clone)]
+pub struct Budget(Rc<Cell<usize>>, limits::Room);
+
+impl Budget {
+    pub fn of(room: limits::Room) -> Budget {
+        Budget(Rc::default(), room)
+    }
+}
 
 /// What one connection holds of the budget, one way; given back when it is dropped.
 struct Held(Budget, usize);
@@ -31,11 +37,11 @@
 impl Held {
     /// Holds so many bytes from now on; false if they are beyond the budget.
     fn hold(&mut self, bytes: usize) -> bool {
-        let beyond = bytes.saturating_sub(limits::BUFFER_USUAL);
+        let beyond = bytes.saturating_sub(self.0.1.usual);
         let all = self.0.0.get() - self.1 + beyond;
         self.0.0.set(all);
         self.1 = beyond;
-        beyond == 0 || all <= limits::BUFFERS_MOST
+        beyond == 0 || all <= self.0.1.shared
     }
 }
 
@@ -78,7 +84,7 @@
         let mut lines = Lines::new(limits::LINE_LONGEST);
         let mut held = Held(self.budget.clone(), 0);
         loop {
-            if !held.hold(lines.held(limits::BUFFER_USUAL)) {
+            if !held.hold(lines.held(self.budget.1.usual)) {
                 return Ending::Crowded;
             }
             lines.room().reserve(limits::READ_ROOM);
--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -141,6 +141,15 @@
         assert!(sent.expect("a shell").success());
     }
 
+    /// The most memory it has held, in kB, and its descriptors.
+    fn holds(&self) -> (u64, usize) {
+        let about = format!("/proc/{}", self.child.id());
+        let status = std::fs::read_to_string(format!("{about}/status")).expect("its status");
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory at most");
+        let most = most.trim().trim_end_matches(" kB").parse().expect("a number");
+        (most, std::fs::read_dir(format!("{about}/fd")).expect("its descriptors").count())
+    }
+
     /// Ends it as a planned restart does, and gives what it logged.
     fn stop(mut self) -> String {
         self.signal("TERM");
@@ -168,19 +177,21 @@
 
 /// One connection to the conductor.
 struct Party {
-    stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
 
 impl Party {
     fn new(stream: TcpStream) -> Party {
         stream.set_read_timeout(Some(LONGEST)).expect("a time-out");
-        let reader = BufReader::new(stream.try_clone().expect("a second handle"));
-        Party { stream, reader }
+        Party { reader: BufReader::new(stream) }
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
     }
 
     fn say(&mut self, message: Value) {
-        self.stream.write_all(format!("{message}\n").as_bytes()).expect("taken");
+        self.write(format!("{message}\n").as_bytes()).expect("taken");
     }
 
     fn hear(&mut self) -> Value {
@@ -254,7 +265,7 @@
     let sums = json!({"t": "outcomes", "zone": "a", "server": "s-2", "tries": 9, "failed": 1, "mean_ms": 20.5,
         "span_ms": 1000.0, "load": {"inflight": 7, "util": 0.61}});
     for byte in format!("{sums}\n{sums}\n").as_bytes() {
-        collector.stream.write_all(&[*byte]).expect("taken");
+        collector.write(&[*byte]).expect("taken");
     }
     collector.probe();
     // The proxy dials anew before the old end is seen, and is bound again.
@@ -304,7 +315,7 @@
     for (party, bytes) in
         [(&mut proxy, &b"{\"t\":\"ack\",\"mark{\"t\":\"probe\"}\n"[..]), (&mut collector, b"\xf3\x01")]
     {
-        party.stream.write_all(bytes).expect("taken");
+        party.write(bytes).expect("taken");
         assert!(party.is_ended());
     }
     let log = conductor.stop();
@@ -322,6 +333,7 @@
     let (_lines, watch) = channel();
     answers.send(Answer::Watch(watch)).expect("running");
     let mut config = config(address);
+    config["limits"]["memory_mb"] = json!(32);
     let (peer, stranger) = (free_port(), UdpSocket::bind("127.0.0.1:0").expect("a port"));
     config["peer_listen"] = json!(peer.to_string());
     let conductor = Conductor::start("bytes", &config);
@@ -333,13 +345,14 @@
     {
         let mut party = conductor.dial();
         // A reset may come while the rest is written.
-        let _ = party.stream.write_all(bytes);
+        let _ = party.write(bytes);
         assert!(party.is_ended(), "{:?}", &bytes[..bytes.len().min(20)]);
     }
     // Long ones that never end, more than is held for all.
-    let parts: Vec<Party> = (0..60).map(|_| conductor.dial()).collect();
-    for mut party in parts.iter().map(|party| &party.stream) {
-        let _ = party.write_all(&long[..1 << 20]);
+    let mut parts: Vec<Party> = (0..60).map(|_| conductor.dial()).collect();
+    for party in &mut parts {
+        // What is left of a message that could still become one.
+        let _ = party.write(b"{\"t\":\"").and_then(|()| party.write(&long[..(1 << 20) - 99]));
     }
     proxy.probe();
     drop(parts);
@@ -347,8 +360,7 @@
     let start = Instant::now();
     loop {
         let (mut party, mut answer) = (conductor.dial(), String::new());
-        let _ = party.stream.write_all(&long[..(1 << 20) - 13]);
-        let _ = party.stream.write_all(b"{\"t\":\"probe\"}\n");
+        let _ = party.write(&long[..(1 << 20) - 13]).and_then(|()| party.write(b"{\"t\":\"probe\"}\n"));
         if party.reader.read_line(&mut answer).is_ok() && answer == "{\"t\":\"alive\"}\n" {
             break;
         }
@@ -359,11 +371,8 @@
     }
     proxy.probe();
     proxy.probe();
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", conductor.child.id())).expect("its status");
-    let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory at most");
-    let most: u64 = most.trim().trim_end_matches(" kB").parse().expect("a number");
-    assert!(most < 128 << 10, "{most} kB held at most");
+    let (most, _) = conductor.holds();
+    assert!(most < 32 << 10, "{most} kB held at most");
     let log = conductor.stop();
     assert!(log.contains("datagrams dropped=5") && log.contains("faults: unusable=4"), "{log}");
     assert!(log.contains("faults: crowded="), "{log}");
@@ -376,21 +385,51 @@
     let (_lines, watch) = channel();
     answers.send(Answer::Watch(watch)).expect("running");
     let mut config = config(address);
-    config["limits"]["sockets"] = json!(64);
+    // The least memory, all proxies of a large tier at one conductor, and little room for others beside them.
+    config["limits"] = json!({"memory_mb": 32, "sockets": 430});
+    config["settings"]["specifics"]["data_plane_size"] = json!(400);
     let conductor = Conductor::start("strangers", &config);
-    let mut strangers: Vec<Party> = (0..100).map(|_| conductor.dial()).collect();
-    let mut proxies: Vec<Party> = (0..20).map(|_| conductor.dial()).collect();
-    for (k, proxy) in proxies.iter_mut().enumerate() {
-        proxy.hello(k as u16);
+    let mut proxies = Vec::new();
+    let mut strangers: Vec<Party> = Vec::new();
+    for k in 0..400 {
+        strangers.push(conductor.dial());
+        let mut proxy = conductor.dial();
+        proxy.hello(k);
+        proxies.push(proxy);
+        // Those ended before are of no use to this test's own descriptors.
+        strangers.drain(..strangers.len().saturating_sub(40)).for_each(drop);
+        let (_, held) = conductor.holds();
+        assert!(held <= 430, "{held} descriptors");
     }
     proxies.iter_mut().for_each(|proxy| assert_eq!(names(&proxy.hear_until(whole)).len(), 2));
-    assert!(strangers[0].is_ended());
-    strangers.iter_mut().next_back().into_iter().for_each(Party::probe);
-    // Descriptors: the folder has one more entry while it is read.
-    let held =
-        std::fs::read_dir(format!("/proc/{}/fd", conductor.child.id())).expect("its descriptors").count();
-    assert!(held <= 64, "{held} descriptors");
+    // Once in, one that asks for a sign of life has it, and all are ended in time.
+    conductor.dial().probe();
+    strangers.iter_mut().for_each(|party| assert!(party.is_ended()));
     proxies.iter_mut().for_each(Party::probe);
+    let (most, _) = conductor.holds();
+    assert!(most < 32 << 10, "{most} kB held at most");
+}
+
+/// Guards against strangers being owed a close for good: those that say nothing, half a message, or without
+/// end, and those that only ask for a sign of life; they wait in vain without any shortage.
+#[test]
+fn strangers_are_ended_though_there_is_room() {
+    let (address, answers, _paths) = discovery();
+    let (_lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let conductor = Conductor::start("endless", &config(address));
+    let mut parties: Vec<Party> = (0..4).map(|_| conductor.dial()).collect();
+    parties[1].write(b"{\"t\":\"hel").expect("taken");
+    parties[2].probe();
+    let start = Instant::now();
+    while parties[3].write(b"{\"t\": \"probe\", ").is_ok() {
+        assert!(start.elapsed() < LONGEST, "it may go on without end");
+        thread::sleep(Duration::from_millis(10));
+    }
+    parties.iter_mut().for_each(|party| assert!(party.is_ended()));
+    let mut proxy = conductor.dial();
+    proxy.hello(1);
+    proxy.hear_until(whole);
 }
 
 /// Guards against discovery's own troubles: the list held stands, and the watch comes back.
