Nodes gone for ten minutes are forgotten, and binds no longer count those replaced

Now a node that has been draining or gone for ten minutes and has no line is forgotten (balance.rs, relisted; names.rs, ordered.rs); ids are counted on, so none means two nodes, and a name first listed while running is let back with its first line. Test: a thousand replacements, at most 130 names known, and one that comes back.

--- a/crates/conductor/src/memory/names.rs
+++ b/crates/conductor/src/memory/names.rs
@@ -1,4 +1,5 @@
-//! Nodes by the names that discovery has for them. A name once listed stays known.
+//! Nodes by the names that discovery has for them. A name once listed stays known until the module forgets its
+//! node; no id is given twice.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,6 +10,7 @@
     ids: BTreeMap<String, NodeId>,
     names: BTreeMap<NodeId, String>,
     kinds: BTreeMap<String, u8>,
+    given: u32,
 }
 
 impl Names {
@@ -17,7 +19,8 @@
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
-        let id = NodeId((self.ids.len() as u32).to_be_bytes(), 0);
+        let id = NodeId(self.given.to_be_bytes(), 0);
+        self.given = self.given.wrapping_add(1);
         self.ids.insert(name.into(), id);
         self.names.insert(id, name.into());
         id
@@ -31,6 +34,15 @@
         self.names.get(&id).map(String::as_str)
     }
 
+    pub fn forget(&mut self, id: NodeId) {
+        self.names.remove(&id).into_iter().for_each(|name| _ = self.ids.remove(&name));
+    }
+
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
     /// Nodes once listed that a whole list does not name.
     pub fn missing(&self, named: &BTreeSet<&str>) -> Vec<NodeId> {
         self.ids.iter().filter(|(name, _)| !named.contains(name.as_str())).map(|(_, id)| *id).collect()
--- a/crates/conductor/src/memory/ordered.rs
+++ b/crates/conductor/src/memory/ordered.rs
@@ -59,6 +59,8 @@
     /// anew, drained or gone at some time.
     doubtful: BTreeSet<NodeId>,
     pub streams: BTreeMap<ProxyId, Stream>,
+    /// Nodes to be dropped once the orders of this turn, which may name them, are written.
+    forgotten: Vec<NodeId>,
     turn: Turn,
     /// Orders that are effects as they stand.
     pub effects: Vec<Effect>,
@@ -99,6 +101,17 @@
         self.doubtful.insert(node);
     }
 
+    /// Drops what is kept of nodes long gone, and gives them for their names to be dropped.
+    pub fn forgotten(&mut self) -> Vec<NodeId> {
+        let forgotten = std::mem::take(&mut self.forgotten);
+        for node in &forgotten {
+            self.withdrawn.remove(node);
+            self.doubtful.remove(node);
+            self.streams.values_mut().for_each(|stream| _ = stream.told.remove(node));
+        }
+        forgotten
+    }
+
     fn all_classes(&self) -> impl Iterator<Item = ClassId> + use<> {
         (0..self.classes.len() as u16).map(ClassId)
     }
@@ -315,6 +328,11 @@
         self.streams.values_mut().for_each(|stream| _ = stream.news.insert(node));
     }
 
+    fn forget(&mut self, node: NodeId) {
+        self.withdraw(node, false);
+        self.forgotten.push(node);
+    }
+
     fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64) {
         for class in self.each(classes) {
             let (levels, changed) = match table {
--- a/crates/conductor/src/memory/reducer.rs
+++ b/crates/conductor/src/memory/reducer.rs
@@ -56,6 +56,8 @@
     balance: Balance,
     ordered: Ordered,
     names: Names,
+    /// The list of an earlier life has been taken.
+    started: bool,
     conns: BTreeMap<ConnId, (Party, SocketAddr)>,
     places: usize,
     /// Those that have not joined, and since when they are here.
@@ -82,6 +84,7 @@
             balance,
             ordered,
             names: Names::default(),
+            started: false,
             conns: BTreeMap::new(),
             places: start.places,
             strangers: BTreeMap::new(),
@@ -97,6 +100,7 @@
         memory.watch.version = start.known.version;
         let known = memory.listings(&start.known.entries);
         memory.balance.roster_whole(now, &known, true, &mut memory.ordered);
+        memory.started = true;
         let effects = memory.close();
         (memory, effects)
     }
@@ -146,11 +150,21 @@
         }
     }
 
+    /// How many nodes have a name here.
+    #[cfg(test)]
+    pub fn known(&self) -> usize {
+        self.names.len()
+    }
+
     /// Ends the turn.
     fn close(&mut self) -> Vec<Effect> {
         for (conn, message) in self.ordered.close(self.now, &self.names, &mut self.counters) {
             self.effects.push(Effect::Write(conn, message));
         }
+        for node in self.ordered.forgotten() {
+            self.counters.add("nodes forgotten", 1);
+            self.names.forget(node);
+        }
         self.follow();
         for (node, text) in std::mem::take(&mut self.ordered.notes) {
             let name = node.and_then(|node| self.names.name(node)).map(|name| format!("{name} "));
@@ -349,8 +363,10 @@
 impl Memory {
     fn listings(&mut self, entries: &[Entry]) -> Vec<Listing> {
         let listing = |entry: &Entry| {
+            // Known before the start, it would have been listed then: it may be one that was forgotten.
+            let back = self.started && self.names.id(&entry.node).is_none();
             let node = self.names.list(&entry.node);
-            if entry.started.is_some() || entry.standing != Standing::Ready {
+            if back || entry.started.is_some() || entry.standing != Standing::Ready {
                 self.ordered.doubt(node);
             }
             Listing {
--- a/crates/conductor/src/memory/tests.rs
+++ b/crates/conductor/src/memory/tests.rs
@@ -556,6 +556,39 @@
     assert!(desk.ended.contains(&ConnId(13)) && !desk.ended.contains(&ConnId(14)));
 }
 
+/// Guards against memory that grows for good while all nodes are replaced again and again, and against an id
+/// that comes to mean two nodes: one that comes back after it was forgotten is let in at those it was shut out.
+#[test]
+fn nodes_long_replaced_are_forgotten() {
+    let mut desk = Desk::new(false);
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    let (mut version, mut most) = (5, 0);
+    let mut news = |desk: &mut Desk, name: String, standing| {
+        version += 1;
+        let entry = Entry { node: name, ..entry(0, standing) };
+        desk.turn(1, [Input::News(Some(1), News { entries: vec![entry], ..list(version, false, &[]) })]);
+    };
+    for k in 0..1_000 {
+        news(&mut desk, format!("n-{k}"), Standing::Ready);
+        (0..5).for_each(|_| desk.turn(1_000, []));
+        for standing in [Standing::Draining, Standing::Gone] {
+            news(&mut desk, format!("n-{k}"), standing);
+            desk.turn(500, []);
+        }
+        most = most.max(desk.memory.known());
+    }
+    // Ten minutes of them, a node every 6 s.
+    assert!((100..130).contains(&most), "{most} nodes were known at once");
+    assert!(desk.counted("nodes forgotten") > 850);
+    assert!(desk.held(1).out.contains("n-3"), "the proxy keeps what it was told");
+    news(&mut desk, "n-3".into(), Standing::Ready);
+    desk.pass(500);
+    let held = desk.held(1);
+    assert_eq!(held.tables["quote"].keys().collect::<Vec<_>>(), ["n-3", "s-0", "s-1", "s-2"]);
+    assert!(!held.out.contains("n-3"));
+}
+
 /// Guards against connections held for good by who never joins, whether it says nothing or asks for a sign of
 /// life again and again; who has joined is kept.
 #[test]
--- a/crates/wirehost/src/reply.rs
+++ b/crates/wirehost/src/reply.rs
@@ -100,6 +100,11 @@
         });
     }
 
+    /// The simulator keeps its nodes itself.
+    fn forget(&mut self, node: NodeId) {
+        self.withdraw(node, false);
+    }
+
     fn note(&mut self, node: Option<NodeId>, text: &str) {
         let text = &node.map_or_else(|| text.to_string(), |node| format!("{node} {text}"));
         self.text(72, text.as_bytes());
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,9 +1,8 @@
 //! Every decision of a conductor, with all its constants and state.
 //!
-//! A host keeps one [`Balance`] for each conductor. It calls [`Balance::begin`] with the mandate, then one
-//! method for each thing heard, always with the clock and with the [`Orders`] that take the answers. After
-//! every input the rules in [`RULES`] are gone through, in their order, until none fires. Ids, the mandate
-//! and the orders are in `interface.rs`; `docs/design.md` tells what each rule keeps, adds and when.
+//! A host keeps one [`Balance`] for each conductor, and calls one method for each thing heard, with the clock
+//! and with the [`Orders`] that take the answers. After every input the rules in [`RULES`] are gone through, in
+//! their order, until none fires. `docs/design.md` tells what each rule keeps, adds and when.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -27,6 +26,7 @@
 /// Share of the load that pushes a cold node over which the ramp may use, by strain: nodes may be listed at
 /// twice their true part, and an overload sends a node several times its work.
 const FALL_SHARE: [f64; 3] = [0.4, 0.24, 0.1];
+const GONE_MEMORY: Time = Time::from_ms(600_000); // for a node to come back under its id: then it is forgotten
 const LINE_LEAST: f64 = 0.01; // the least share of its weight at which a line stands
 const ASK_WAIT: Time = Time::from_ms(250); // before asking a failed roster again, doubled up to four times
 const PATIENCE: Time = Time::from_ms(5_000); // with any answer
@@ -120,8 +120,7 @@
     kind: u8,
     part: u16, // the part of the table that it stands in
     listed: f64,
-    open: bool,   // neither draining nor gone
-    barred: bool, // proxies must stop sending to it within the grace
+    barred: Option<Time>, // since when it is draining or gone: proxies must stop sending within the grace
     started: Option<Time>,
     step: u32, // steps of the ramp taken, and when the last was
     stepped: Time,
@@ -285,13 +284,11 @@
         }
         let named: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
         for (_, node) in self.snapshot.iter_mut().filter(|(id, _)| !named.contains(id)) {
-            (node.open, node.barred) = (false, true);
+            node.barred = node.barred.or(Some(now));
         }
         entries.iter().for_each(|entry| self.list(entry));
-        if !cached {
-            (self.ask_due, self.failures) = (None, 0);
-        }
-        self.relisted();
+        (self.ask_due, self.failures) = if cached { (self.ask_due, self.failures) } else { (None, 0) };
+        self.relisted(orders);
         self.settle(now, orders);
     }
 
@@ -299,13 +296,17 @@
         self.turn(now);
         entries.iter().for_each(|entry| self.list(entry));
         (self.ask_due, self.failures) = (None, 0);
-        self.relisted();
+        self.relisted(orders);
         self.settle(now, orders);
     }
 
-    fn relisted(&mut self) {
-        let out = &self.withdrawn;
-        let barred = self.snapshot.iter().filter(|(id, node)| node.barred && !out.contains(id));
+    fn relisted(&mut self, orders: To) {
+        let (out, lines, now) = (&mut self.withdrawn, &self.table.lines, self.now);
+        // What is kept of nodes long replaced must not grow for good.
+        let long = |node: &Node| node.barred.is_some_and(|since| now > since + GONE_MEMORY);
+        let left = |id: &NodeId, node: &mut Node| long(node) && !lines.contains_key(id) && out.remove(id);
+        self.snapshot.extract_if(.., left).for_each(|(id, _)| orders.forget(id));
+        let barred = self.snapshot.iter().filter(|(id, node)| node.barred.is_some() && !out.contains(id));
         self.barred = barred.map(|(id, _)| *id).collect();
         (self.ramp_due, self.stirred) = (self.now, true);
     }
@@ -349,10 +350,8 @@
         self.fleet.met.add(now, met, lost);
         self.fleet.heard = if lost < met.tries { now } else { self.fleet.heard };
         if let Some(node) = self.snapshot.get_mut(&met.node) {
-            node.dry = node.dry.saturating_add(lost);
-            if lost < met.tries {
-                (node.dry, node.heard) = (0, now);
-            }
+            let dry = node.dry.saturating_add(lost);
+            (node.dry, node.heard) = if lost < met.tries { (0, now) } else { (dry, node.heard) };
             if now >= node.blind {
                 node.met.add(now, met, lost);
             }
@@ -409,8 +408,7 @@
             *dealt = (*dealt + 1) % table.parts;
             Node { part: *dealt, ..Node::default() }
         });
-        node.open = entry.standing == Standing::Ready;
-        node.barred = !node.open;
+        node.barred = node.barred.or(Some(self.now)).filter(|_| entry.standing != Standing::Ready);
         if entry.standing == Standing::Gone {
             return;
         }
@@ -487,7 +485,7 @@
 
 impl Balance {
     fn open(&self) -> impl Iterator<Item = (&NodeId, &Node)> {
-        self.snapshot.iter().filter(|(_, node)| node.open)
+        self.snapshot.iter().filter(|(_, node)| node.barred.is_none())
     }
 
     /// Of a part, whether any node is warm, and which share of the listed weight stands as a zone sees it.
@@ -495,7 +493,7 @@
         let nodes = || self.snapshot.iter().filter(move |(_, node)| node.part == part);
         let stands = nodes().filter_map(|(id, node)| Some(self.table.lines.get(id)? * self.near(node, zone)));
         let listed: f64 = nodes().map(|(_, node)| node.listed * self.near(node, zone)).sum();
-        let warm = nodes().any(|(_, node)| node.open && node.step == RAMP_STEPS);
+        let warm = nodes().any(|(_, node)| node.barred.is_none() && node.step == RAMP_STEPS);
         (warm, (10.0 * stands.sum::<f64>() / listed).ceil().max(1.0) / 10.0)
     }
 
@@ -505,7 +503,7 @@
 
     /// The weight that a node should stand at in the shared table; 0 for no line.
     fn weight(&self, node: &Node, (warm, crowd): (bool, f64)) -> f64 {
-        if !node.open {
+        if node.barred.is_some() {
             return 0.0;
         }
         let done = f64::from(node.step) / f64::from(RAMP_STEPS);
@@ -587,11 +585,13 @@
         self.channel.waiting + self.bind_lines()
     }
 
-    /// What a bind costs: the table, its levels, the withdrawn nodes, itself and a head.
+    /// What a bind costs: the table, its levels, the nodes withdrawn from it, itself and a head.
     fn bind_lines(&self) -> f64 {
         let mut sizes = vec![0; self.table.parts.into()];
-        let nodes = self.table.lines.keys().chain(&self.withdrawn).filter_map(|id| self.snapshot.get(id));
-        nodes.for_each(|node| sizes[usize::from(node.part)] += 1);
+        let part = |id| self.snapshot.get(id).map_or(0, |node| usize::from(node.part));
+        for id in self.table.lines.keys() {
+            sizes[part(id)] += 1 + usize::from(self.withdrawn.contains(id));
+        }
         let lines = sizes.into_iter().max().unwrap_or(0) + 1;
         (lines + self.mandate.exchanges.len()) as f64 + self.mandate.message_head
     }
@@ -790,7 +790,7 @@
         let most = heard.len() * 2 >= self.open().count();
         let rest_time = if most { middle_time.min(all_time) } else { all_time };
         let each = self.fleet.met.all.rate(now, period) / self.table.lines.values().sum::<f64>();
-        for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.open) {
+        for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.barred.is_none()) {
             let met = node.symptoms(now, kin(node));
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,6 +223,9 @@
     fn bind(&mut self, proxy: ProxyId, table: TableId, classes: Classes);
     /// Shuts a node out at all joined proxies, whatever their tables say, or lets it back in.
     fn withdraw(&mut self, node: NodeId, out: bool);
+    /// Ends a node's withdrawal and drops what is kept of it; no table names it any more. Listed again, it is a
+    /// new one.
+    fn forget(&mut self, node: NodeId);
     /// Sets how much of some classes is let in, and when proxies try again; no table means everywhere.
     fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64);
     /// Has the messages of this turn acknowledged; with `everyone`, proxies it would not reach get one too.
