The operator's own file: CUE-like typed records, checked in one place

Need: new features are set by operators, and every later subsystem adds settings; the JSON of a conductor's start belongs to the platform.

Change: crates/operator reads records with types, bounds, defaults, optional fields, units, definitions and several files unified into one (pest, codespan-reporting, strsim, regex-lite).

--- /dev/null
+++ b/crates/operator/src/records/mod.rs
@@ -0,0 +1,45 @@
+//! The records that subsystems add, each with its schema beside it. One line here and one below is all that
+//! another needs.
+
+pub mod channel;
+
+use oatpitch::interface::Time;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+
+use crate::core::value::Scalar;
+
+/// Schemas by the name that problems in them are told under.
+pub const SCHEMAS: [(&str, &str); 1] = [("channel.cue", include_str!("channel.cue"))];
+
+/// All that operators can set. What is absent is off.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    pub channel: Option<channel::Channel>,
+    pub relay: Option<channel::Relay>,
+    pub follow: channel::Follow,
+}
+
+impl Operator {
+    /// Keys in which another file differs that only a new start takes over.
+    pub fn fixed(&self, other: &Operator) -> Vec<String> {
+        channel::fixed(self.channel.as_ref(), other.channel.as_ref())
+    }
+}
+
+/// Reads a time as it is written when settled.
+fn time<'de, D: Deserializer<'de>>(from: D) -> Result<Time, D::Error> {
+    match crate::quantity(&String::deserialize(from)?) {
+        Some(Scalar::Time(tenths)) => Ok(Time(tenths)),
+        _ => Err(D::Error::custom("no time")),
+    }
+}
+
+/// Reads a size as it is written when settled, in bytes.
+fn size<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    match crate::quantity(&String::deserialize(from)?) {
+        Some(Scalar::Size(bytes)) => usize::try_from(bytes).map_err(D::Error::custom),
+        _ => Err(D::Error::custom("no size")),
+    }
+}
