--- /dev/null
+++ b/crates/channel/src/core/publisher.rs
@@ -0,0 +1,808 @@
+//! What is published: feeds with their tables and a bounded history, and for each follower what it is sent
+//! next. Followers have no queues of their own: each has a place in its feed's history, so that a stalled one
+//! holds nothing, and one change is encoded once for all.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use oatpitch::interface::{ProxyId, Time, ZoneId};
+use oatpitch_memory::counters::Counters;
+use oatpitch_memory::message::{self, Binding, Message};
+use oatpitch_memory::{ConnId, must};
+
+use super::codec::Codec;
+use super::line::*;
+use super::table::Table;
+
+/// Nodes shut out that no table names, kept for those that resume; beyond that they must take a snapshot.
+const OUT_MOST: usize = 1_024;
+/// Marks whose time is kept to tell how long an answer took.
+const MARKS_MOST: usize = 64;
+/// What a follower that caught up with a snapshot a moment ago has spent may be this much of a second's lines.
+const BURST: f64 = 0.25;
+
+/// What operators set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Lines that may wait for one follower before it loses what waits.
+    pub waiting_lines: usize,
+    /// Revisions, and bytes, of history for each feed.
+    pub history: usize,
+    pub history_bytes: usize,
+    /// Lines of snapshots a second, over all followers.
+    pub catch_up_lines: u64,
+    pub beat: Time,
+    pub silent: Time,
+    /// So long a follower whose stream broke keeps its place.
+    pub linger: Time,
+}
+
+/// One stream to a follower; a follower may come with another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StreamId(pub u64);
+
+/// Who wants to follow, and from where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    pub proxy: ProxyId,
+    pub zone: ZoneId,
+    /// Exchanges a second.
+    pub rate: f64,
+    /// It holds no table.
+    pub fresh: bool,
+    pub resume: Option<Point>,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A follower takes a place: it joins as a proxy of this connection.
+    Join(ConnId, Ask),
+    /// It gave its place up, or lost it.
+    Leave(ConnId),
+    /// A mark that was answered, and how long that took.
+    Answered(ConnId, ProxyId, u16, Time),
+    /// There may be something to send.
+    Stir(StreamId),
+}
+
+/// What a follower's stream is sent next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    Send(Bytes),
+    /// Nothing now; the stream is stirred when there is.
+    Wait,
+    /// These bytes, and then the end.
+    Last(Bytes),
+    End,
+}
+
+/// A sign of life.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Alive {
+    pub session: u64,
+    pub marks: Vec<u16>,
+}
+
+/// One revision as it is kept: its bytes are shared by all that they are sent to.
+#[derive(Clone, Debug)]
+struct Kept {
+    base: Revision,
+    revision: Revision,
+    cost: usize,
+    out: Vec<Name>,
+    bytes: Bytes,
+}
+
+#[derive(Debug)]
+struct Feed {
+    revision: Revision,
+    table: Table,
+    log: VecDeque<Kept>,
+    log_bytes: usize,
+    /// Lines of everything ever published, at each revision's end, so that what waits is a difference.
+    written: usize,
+    mark: Option<(Revision, u16)>,
+    /// The snapshot of a revision and version of the list, encoded when first asked for.
+    snapshot: Option<(Revision, u64, Bytes, usize)>,
+    followers: usize,
+}
+
+/// What a turn changes of a feed, gathered from all its messages.
+#[derive(Debug, Default)]
+struct Touched {
+    parts: Vec<Part>,
+    out: BTreeSet<Name>,
+    back: BTreeSet<Name>,
+    mark: Option<u16>,
+    roster: u64,
+    revision: u64,
+}
+
+#[derive(Debug)]
+struct Follower {
+    proxy: ProxyId,
+    zone: ZoneId,
+    session: u64,
+    /// None while its stream is broken, and since when.
+    stream: Option<StreamId>,
+    broken: Option<Time>,
+    heard: Time,
+    feed: Option<FeedId>,
+    /// What it has been sent up to; none where it needs a snapshot.
+    at: Option<Revision>,
+    /// Where it came from, until it is bound.
+    resume: Option<Point>,
+    /// Up to which revision nodes shut out were told ahead of what waits.
+    warned: Revision,
+    /// Nodes to be shut out ahead of its tables, and the revision that tells it.
+    urgent: BTreeSet<Name>,
+    urged: Revision,
+    welcomed: bool,
+    beaten: Time,
+    /// A beat is owed at once, as that tells it that it has caught up.
+    owed: bool,
+    /// It waits for room among those that catch up.
+    waits: bool,
+}
+
+pub struct Publisher<C> {
+    codec: C,
+    limits: Limits,
+    epoch: Epoch,
+    lineage: Name,
+    classes: Vec<ClassTerms>,
+    names: Vec<Name>,
+    /// The version of the list that everything published stands for.
+    roster: u64,
+    /// What is published is what the conductor holds now.
+    live: bool,
+    feeds: BTreeMap<FeedId, Feed>,
+    bindings: BTreeMap<Binding, FeedId>,
+    given: u32,
+    touched: BTreeMap<FeedId, Touched>,
+    followers: BTreeMap<ConnId, Follower>,
+    proxies: BTreeMap<ProxyId, ConnId>,
+    streams: BTreeMap<StreamId, ConnId>,
+    sessions: BTreeMap<u64, ConnId>,
+    /// Streams that are to be ended, and why.
+    endings: BTreeMap<StreamId, Why>,
+    marks: VecDeque<(u16, Time)>,
+    /// Lines of snapshots that may be sent now, and when that was reckoned.
+    room: (f64, Time),
+    chance: fastrand::Rng,
+    pub counters: Counters,
+}
+
+impl<C: Codec> Publisher<C> {
+    /// Publishes nothing yet. Sessions are numbered by chance, from the seed.
+    pub fn new(
+        codec: C,
+        limits: Limits,
+        epoch: Epoch,
+        lineage: Name,
+        classes: Vec<ClassTerms>,
+        seed: u64,
+    ) -> Self {
+        Publisher {
+            codec,
+            room: (limits.catch_up_lines as f64 * BURST, Time::default()),
+            limits,
+            epoch,
+            lineage,
+            names: classes.iter().map(|terms| terms.name.clone()).collect(),
+            classes,
+            roster: 0,
+            live: true,
+            feeds: BTreeMap::new(),
+            bindings: BTreeMap::new(),
+            given: 0,
+            touched: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            endings: BTreeMap::new(),
+            marks: VecDeque::new(),
+            chance: fastrand::Rng::with_seed(seed),
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn codec(&self) -> &C {
+        &self.codec
+    }
+
+    pub fn epoch(&self) -> &Epoch {
+        &self.epoch
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Other limits hold from now on.
+    pub fn renew(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    pub fn class(&self, name: &str) -> bool {
+        self.names.iter().any(|known| **known == *name)
+    }
+
+    pub fn follows(&self, conn: ConnId) -> bool {
+        self.followers.contains_key(&conn)
+    }
+
+    /// Followers, those among them without a stream, and feeds.
+    pub fn figures(&self) -> [usize; 3] {
+        let broken = self.followers.values().filter(|follower| follower.stream.is_none()).count();
+        [self.followers.len(), broken, self.feeds.len()]
+    }
+}
+
+// ---- Followers ----
+
+impl<C: Codec> Publisher<C> {
+    /// A stream comes that wants to follow. One that has a place takes it up again.
+    pub fn attach(&mut self, now: Time, stream: StreamId, place: ConnId, ask: Ask) -> Vec<Act> {
+        let mut acts = Vec::new();
+        self.counters.add("streams opened", 1);
+        let held = self.proxies.get(&ask.proxy).copied();
+        let taken = held.filter(|conn| self.followers.get(conn).is_some_and(|known| known.zone == ask.zone));
+        if let Some(old) = held.filter(|_| taken.is_none()) {
+            // Elsewhere now: it must be bound anew.
+            acts.extend(self.drop_follower(old, Why::Replaced));
+        }
+        let conn = taken.unwrap_or(place);
+        self.streams.insert(stream, conn);
+        let session = self.chance.u64(..);
+        self.sessions.insert(session, conn);
+        if let Some(follower) = self.followers.get_mut(&conn) {
+            // The later stream is the one that counts, whether the end of the other was seen or not.
+            if let Some(old) = follower.stream.replace(stream) {
+                self.endings.insert(old, Why::Replaced);
+                acts.push(Act::Stir(old));
+                self.counters.add("streams replaced", 1);
+            }
+            self.sessions.remove(&follower.session);
+            (follower.session, follower.broken, follower.heard) = (session, None, now);
+            (follower.welcomed, follower.owed, follower.waits) = (false, true, false);
+            (follower.at, follower.resume, follower.warned) = (None, ask.resume, Revision::default());
+            self.counters.add("places taken up again", 1);
+            self.resume(conn);
+        } else {
+            let follower = Follower {
+                proxy: ask.proxy,
+                zone: ask.zone,
+                session,
+                stream: Some(stream),
+                broken: None,
+                heard: now,
+                feed: None,
+                at: None,
+                resume: ask.resume.clone(),
+                warned: Revision::default(),
+                urgent: BTreeSet::new(),
+                urged: Revision::default(),
+                welcomed: false,
+                beaten: now,
+                owed: !self.live,
+                waits: false,
+            };
+            self.followers.insert(conn, follower);
+            self.proxies.insert(ask.proxy, conn);
+            acts.push(Act::Join(conn, ask));
+        }
+        acts.push(Act::Stir(stream));
+        acts
+    }
+
+    /// Where a follower's own table is one of the history, it goes on from there.
+    fn resume(&mut self, conn: ConnId) {
+        let Some(follower) = self.followers.get_mut(&conn) else { return };
+        let Some(id) = follower.feed else { return };
+        let Some(point) = follower.resume.take() else { return };
+        let Some(feed) = self.feeds.get(&id) else { return };
+        let known = point.epoch == self.epoch && point.feed == id && feed.covers(point.revision);
+        self.counters.add(if known { "resumed from history" } else { "resume points out of history" }, 1);
+        if known {
+            (follower.at, follower.warned, follower.owed) = (Some(point.revision), point.revision, true);
+        }
+    }
+
+    /// A stream has ended. Its follower keeps its place for a while.
+    pub fn detach(&mut self, now: Time, stream: StreamId) {
+        self.endings.remove(&stream);
+        let Some(conn) = self.streams.remove(&stream) else { return };
+        let Some(follower) = self.followers.get_mut(&conn).filter(|own| own.stream == Some(stream)) else {
+            return;
+        };
+        (follower.stream, follower.broken, follower.waits) = (None, Some(now), false);
+        self.counters.add("streams broken", 1);
+    }
+
+    /// The host has no such connection any more: another took the proxy's number, elsewhere.
+    pub fn end(&mut self, conn: ConnId) -> Vec<Act> {
+        let mut acts = self.drop_follower(conn, Why::Ended);
+        acts.retain(|act| !matches!(act, Act::Leave(_)));
+        acts
+    }
+
+    /// All followers are told to come again, as what is published is of another epoch.
+    pub fn move_to(&mut self, epoch: Epoch, lineage: Name, classes: Vec<ClassTerms>) -> Vec<Act> {
+        let mut acts = Vec::new();
+        for conn in self.followers.keys().copied().collect::<Vec<_>>() {
+            acts.extend(self.drop_follower(conn, Why::Moved));
+        }
+        self.names = classes.iter().map(|terms| terms.name.clone()).collect();
+        (self.epoch, self.lineage, self.classes, self.roster) = (epoch, lineage, classes, 0);
+        self.feeds.clear();
+        self.bindings.clear();
+        self.touched.clear();
+        self.marks.clear();
+        acts
+    }
+
+    /// Everybody is told that this is over.
+    pub fn stop(&mut self) -> Vec<Act> {
+        let conns: Vec<ConnId> = self.followers.keys().copied().collect();
+        conns.into_iter().flat_map(|conn| self.drop_follower(conn, Why::Stopping)).collect()
+    }
+
+    fn drop_follower(&mut self, conn: ConnId, why: Why) -> Vec<Act> {
+        let Some(follower) = self.followers.remove(&conn) else { return Vec::new() };
+        self.sessions.remove(&follower.session);
+        if self.proxies.get(&follower.proxy) == Some(&conn) {
+            self.proxies.remove(&follower.proxy);
+        }
+        self.unbind(follower.feed);
+        let mut acts = vec![Act::Leave(conn)];
+        if let Some(stream) = follower.stream {
+            self.endings.insert(stream, why);
+            acts.push(Act::Stir(stream));
+        }
+        acts
+    }
+
+    /// A feed that nobody follows gets no more changes, so it can't be gone on with later.
+    fn unbind(&mut self, feed: Option<FeedId>) {
+        let Some(id) = feed else { return };
+        let Some(left) = self.feeds.get_mut(&id) else { return };
+        left.followers -= 1;
+        if left.followers == 0 {
+            self.feeds.remove(&id);
+            self.bindings.retain(|_, known| *known != id);
+            self.touched.remove(&id);
+        }
+    }
+
+    /// A follower shows that it lives, and what it has applied; nothing where the session is not known.
+    pub fn alive(&mut self, now: Time, alive: &Alive) -> Option<Vec<Act>> {
+        let conn = *self.sessions.get(&alive.session)?;
+        let follower = self.followers.get_mut(&conn)?;
+        follower.heard = now;
+        self.counters.add("signs of life", 1);
+        let mut acts = Vec::new();
+        for mark in &alive.marks {
+            let ordered = self.marks.iter().rev().find(|(known, _)| known == mark);
+            match ordered {
+                Some((_, at)) => acts.push(Act::Answered(conn, follower.proxy, *mark, now - *at)),
+                None => self.counters.add("marks never ordered", 1),
+            }
+        }
+        Some(acts)
+    }
+
+    /// Time passes: who is silent, who has been away for too long, who is owed a beat.
+    pub fn tick(&mut self, now: Time) -> Vec<Act> {
+        let (mut acts, mut gone) = (Vec::new(), Vec::new());
+        for (conn, follower) in &mut self.followers {
+            match (follower.stream, follower.broken) {
+                (Some(stream), _) if now > follower.heard + self.limits.silent => {
+                    self.counters.add("silent followers", 1);
+                    self.endings.insert(stream, Why::Silent);
+                    (follower.stream, follower.broken) = (None, Some(now));
+                    acts.push(Act::Stir(stream));
+                }
+                (Some(stream), _) if follower.waits || now >= follower.beaten + self.limits.beat => {
+                    acts.push(Act::Stir(stream));
+                }
+                (None, Some(since)) if now >= since + self.limits.linger => gone.push(*conn),
+                _ => {}
+            }
+        }
+        self.counters.add("places given up", gone.len() as u64);
+        acts.extend(gone.into_iter().flat_map(|conn| self.drop_follower(conn, Why::Ended)));
+        acts
+    }
+}
+
+// ---- What is published ----
+
+impl Feed {
+    fn new(revision: Revision) -> Feed {
+        Feed {
+            revision,
+            table: Table::default(),
+            log: VecDeque::new(),
+            log_bytes: 0,
+            written: 0,
+            mark: None,
+            snapshot: None,
+            followers: 0,
+        }
+    }
+
+    /// Whether everything after a revision is still there.
+    fn covers(&self, revision: Revision) -> bool {
+        revision == self.revision || self.log.binary_search_by(|kept| kept.base.cmp(&revision)).is_ok()
+    }
+
+    /// What comes after a revision that is covered.
+    fn after(&self, revision: Revision) -> impl Iterator<Item = &Kept> {
+        let from = self.log.partition_point(|kept| kept.base < revision);
+        self.log.range(from..)
+    }
+
+    fn keep(&mut self, kept: Kept, limits: &Limits) {
+        self.written += kept.cost;
+        self.log_bytes += kept.bytes.len();
+        (self.revision, self.snapshot) = (kept.revision, None);
+        self.log.push_back(kept);
+        while self.log.len() > limits.history || self.log_bytes > limits.history_bytes {
+            let Some(oldest) = self.log.pop_front() else { break };
+            self.log_bytes -= oldest.bytes.len();
+        }
+    }
+}
+
+impl<C: Codec> Publisher<C> {
+    fn part(&self, part: &message::Part) -> Part {
+        let name = |class: &oatpitch::interface::ClassId| self.names.get(usize::from(class.0)).cloned();
+        Part {
+            classes: part.classes.iter().filter_map(name).collect(),
+            whole: part.whole,
+            lines: part.lines.clone(),
+            level: part.level,
+            out: part.out.clone(),
+            back: part.back.clone(),
+        }
+    }
+
+    /// One message of a turn, for those of its connections that follow here. All of a turn are followed by
+    /// [`Publisher::close`].
+    pub fn order(&mut self, to: &[ConnId], message: &Message) {
+        if message.binding.iter().all(Option::is_none) {
+            // Not bound yet: only what must not wait concerns them.
+            let out: Vec<Name> = message.parts.iter().flat_map(|part| part.out.iter().cloned()).collect();
+            let back: Vec<Name> = message.parts.iter().flat_map(|part| part.back.iter().cloned()).collect();
+            for conn in to {
+                if let Some(follower) = self.followers.get_mut(conn) {
+                    follower.urged = Revision(message.revision);
+                    follower.urgent.extend(out.iter().cloned());
+                    back.iter().for_each(|node| _ = follower.urgent.remove(node));
+                }
+            }
+            return;
+        }
+        let followers: Vec<ConnId> =
+            to.iter().copied().filter(|conn| self.followers.contains_key(conn)).collect();
+        if followers.is_empty() {
+            return;
+        }
+        let id = self.bindings.get(&message.binding).copied().unwrap_or_else(|| {
+            self.given += 1;
+            self.bindings.insert(message.binding.clone(), FeedId(self.given));
+            FeedId(self.given)
+        });
+        let parts: Vec<Part> = message.parts.iter().map(|part| self.part(part)).collect();
+        let mark = message.parts.iter().find_map(|part| part.mark);
+        let fresh = !self.feeds.contains_key(&id);
+        let feed = self.feeds.entry(id).or_insert_with(|| Feed::new(Revision(message.revision)));
+        if fresh {
+            let whole = parts.iter().any(|part| part.whole);
+            must!(self.counters, whole, "a feed begins with a whole table");
+            feed.table.apply(&parts, &self.names);
+            feed.mark = mark.map(|mark| (feed.revision, mark));
+        }
+        let mut stay = false;
+        for conn in followers {
+            let Some(follower) = self.followers.get_mut(&conn) else { continue };
+            if follower.feed == Some(id) {
+                stay = true;
+                continue;
+            }
+            let left = follower.feed.replace(id);
+            (follower.at, follower.warned) = (None, Revision::default());
+            follower.urgent.clear();
+            if let Some(feed) = self.feeds.get_mut(&id) {
+                feed.followers += 1;
+            }
+            self.unbind(left);
+            self.resume(conn);
+        }
+        let touched = self.touched.entry(id).or_default();
+        (touched.roster, touched.revision) = (message.roster, message.revision);
+        touched.mark = touched.mark.or(mark);
+        for part in &parts {
+            touched.out.extend(part.out.iter().cloned());
+            touched.back.extend(part.back.iter().cloned());
+        }
+        if stay && touched.parts.is_empty() {
+            let bare = |part: &Part| Part { out: Vec::new(), back: Vec::new(), ..part.clone() };
+            touched.parts = parts.iter().map(bare).collect();
+        }
+    }
+
+    /// The turn is over: what it changed is kept and encoded, once. `roster` is the version of the list that
+    /// everything published stands for now.
+    pub fn close(&mut self, now: Time, roster: u64) -> Vec<Act> {
+        self.roster = roster;
+        let mut acts = Vec::new();
+        for (id, touched) in std::mem::take(&mut self.touched) {
+            if let Some(mark) = touched.mark
+                && self.marks.back().is_none_or(|(known, _)| *known != mark)
+            {
+                self.marks.push_back((mark, now));
+                if self.marks.len() > MARKS_MOST {
+                    self.marks.pop_front();
+                }
+            }
+            let Some(feed) = self.feeds.get_mut(&id) else { continue };
+            let base = feed.revision;
+            let mut parts = touched.parts;
+            // A line that is laid lets its node in again, whoever was told of it before.
+            let laid = parts.iter().filter(|part| !part.whole).flat_map(|part| &part.lines);
+            let laid = laid.filter(|(node, weight)| *weight > 0.0 && feed.table.out.contains(node));
+            let mut back: BTreeSet<Name> = laid.map(|(node, _)| node.clone()).collect();
+            back.extend(touched.back.into_iter().filter(|node| feed.table.out.contains(node)));
+            back.retain(|node| !touched.out.contains(node));
+            let out: Vec<Name> =
+                touched.out.into_iter().filter(|node| !feed.table.out.contains(node)).collect();
+            let back: Vec<Name> = back.into_iter().collect();
+            if !out.is_empty() || !back.is_empty() {
+                parts.insert(0, Part { out: out.clone(), back, ..Part::default() });
+            }
+            let changed = parts.iter().any(|part| part.cost() > 1 || part.whole);
+            if !changed || touched.revision <= base.0 {
+                continue;
+            }
+            let revision = Revision(touched.revision);
+            feed.table.apply(&parts, &self.names);
+            feed.mark = touched.mark.map(|mark| (revision, mark));
+            let point = Point { epoch: self.epoch.clone(), feed: id, revision };
+            let step = Step { point, base: Some(base), roster: touched.roster, parts, mark: touched.mark };
+            let (cost, bytes) = (step.cost(), encode(&self.codec, &step));
+            self.counters.add("changes published", 1);
+            self.counters.add("lines published", cost as u64);
+            self.counters.add("bytes encoded", bytes.len() as u64);
+            feed.keep(Kept { base, revision, cost, out, bytes }, &self.limits);
+            feed.forget_out();
+        }
+        for follower in self.followers.values() {
+            let behind = follower
+                .feed
+                .and_then(|id| self.feeds.get(&id))
+                .is_some_and(|feed| follower.at != Some(feed.revision));
+            if behind || !follower.urgent.is_empty() {
+                acts.extend(follower.stream.map(Act::Stir));
+            }
+        }
+        acts
+    }
+
+    /// For a relay: one feed, just as the origin has it. A follower is bound to it as soon as it comes.
+    pub fn relay(&mut self, position: &Point, roster: u64, mark: Option<u16>, table: &Table) -> Vec<Act> {
+        let id = position.feed;
+        let known = self.feeds.contains_key(&id);
+        if !known {
+            // Another feed of the same origin: a table apart, so that all take it as a whole.
+            let conns: Vec<ConnId> = self.followers.keys().copied().collect();
+            self.feeds.clear();
+            let mut feed = Feed::new(position.revision);
+            (feed.table, feed.mark, feed.followers) =
+                (table.clone(), mark.map(|mark| (position.revision, mark)), conns.len());
+            self.feeds.insert(id, feed);
+            for conn in conns {
+                if let Some(follower) = self.followers.get_mut(&conn) {
+                    (follower.feed, follower.at, follower.warned) = (Some(id), None, Revision::default());
+                }
+                self.resume(conn);
+            }
+        } else if let Some(feed) = self.feeds.get_mut(&id)
+            && position.revision > feed.revision
+        {
+            let parts = feed.table.changes(table);
+            let out = parts.iter().flat_map(|part| part.out.iter().cloned()).collect();
+            let base = feed.revision;
+            feed.table = table.clone();
+            feed.mark = mark.map(|mark| (position.revision, mark));
+            let step = Step { point: position.clone(), base: Some(base), roster, parts, mark };
+            let (cost, bytes) = (step.cost(), encode(&self.codec, &step));
+            self.counters.add("changes published", 1);
+            self.counters.add("bytes encoded", bytes.len() as u64);
+            let revision = position.revision;
+            feed.keep(Kept { base, revision, cost, out, bytes }, &self.limits);
+        }
+        self.roster = roster;
+        self.followers.values().filter_map(|follower| follower.stream.map(Act::Stir)).collect()
+    }
+
+    /// For a relay: nodes that the origin has told to shut out ahead of its tables.
+    pub fn warn(&mut self, revision: Revision, out: &[Name]) -> Vec<Act> {
+        for follower in self.followers.values_mut() {
+            follower.urged = revision;
+            follower.urgent.extend(out.iter().cloned());
+        }
+        self.followers.values().filter_map(|follower| follower.stream.map(Act::Stir)).collect()
+    }
+
+    /// For a relay: binds a follower to the one feed there is.
+    pub fn bind_only(&mut self, conn: ConnId) {
+        let Some(id) = self.feeds.keys().next().copied() else { return };
+        if let Some(follower) = self.followers.get_mut(&conn).filter(|follower| follower.feed.is_none()) {
+            follower.feed = Some(id);
+            self.feeds.get_mut(&id).into_iter().for_each(|feed| feed.followers += 1);
+            self.resume(conn);
+        }
+    }
+
+    /// For a relay: the origin's beats have told of a later version of the list.
+    pub fn stands_for(&mut self, roster: u64) {
+        self.roster = roster;
+    }
+
+    /// For a relay: whether the origin is followed now. A change of it is told at once.
+    pub fn set_live(&mut self, live: bool) -> Vec<Act> {
+        if self.live == live {
+            return Vec::new();
+        }
+        self.live = live;
+        self.followers.values_mut().for_each(|follower| follower.owed = true);
+        self.followers.values().filter_map(|follower| follower.stream.map(Act::Stir)).collect()
+    }
+}
+
+impl Feed {
+    /// Nodes shut out that no table names are dropped where they are many; who resumes from before that would
+    /// keep them, so that the history ends there.
+    fn forget_out(&mut self) {
+        let named = |node: &Name| self.table.lines.values().any(|lines| lines.contains_key(node));
+        if self.table.out.len() > OUT_MOST {
+            let kept: BTreeSet<Name> = self.table.out.iter().filter(|node| named(node)).cloned().collect();
+            self.table.out = kept;
+            self.log.clear();
+            self.log_bytes = 0;
+        }
+    }
+}
+
+fn encode(codec: &impl Codec, step: &Step) -> Bytes {
+    let pieces = pieces(step);
+    let mut bytes = Vec::new();
+    for piece in pieces {
+        bytes.extend_from_slice(&codec.encode(&Line::Piece(piece)));
+    }
+    bytes.into()
+}
+
+// ---- What a stream is sent ----
+
+impl<C: Codec> Publisher<C> {
+    /// What a stream that takes more is sent next.
+    pub fn next(&mut self, now: Time, stream: StreamId) -> Next {
+        if let Some(why) = self.endings.remove(&stream) {
+            return Next::Last(self.codec.encode(&Line::End(why)));
+        }
+        let Some(conn) = self.streams.get(&stream).copied() else { return Next::End };
+        let Some(follower) = self.followers.get_mut(&conn).filter(|own| own.stream == Some(stream)) else {
+            return Next::End;
+        };
+        if !std::mem::replace(&mut follower.welcomed, true) {
+            let welcome = Welcome {
+                version: VERSION,
+                epoch: self.epoch.clone(),
+                lineage: self.lineage.clone(),
+                session: follower.session,
+                classes: self.classes.clone(),
+                beat: self.limits.beat,
+                silent: self.limits.silent,
+            };
+            return Next::Send(self.codec.encode(&Line::Welcome(welcome)));
+        }
+        let urgent = std::mem::take(&mut follower.urgent);
+        if !urgent.is_empty() {
+            let revision = follower.urged;
+            let out = urgent.into_iter().collect();
+            let withdrawal = Withdrawal { epoch: self.epoch.clone(), revision, out };
+            return Next::Send(self.codec.encode(&Line::Withdrawal(withdrawal)));
+        }
+        if let Some(id) = follower.feed
+            && let Some(feed) = self.feeds.get_mut(&id)
+        {
+            if let Some(at) = follower.at {
+                let waiting: usize = match feed.covers(at) {
+                    true => feed.after(at).map(|kept| kept.cost).sum(),
+                    false => usize::MAX,
+                };
+                if waiting > self.limits.waiting_lines {
+                    // It loses what waits, not its place.
+                    self.counters.add("followers fallen behind", 1);
+                    follower.at = None;
+                    follower.warned = follower.warned.max(at);
+                }
+            }
+            // Withdrawals go ahead of all that waits.
+            let behind = follower.at.is_none_or(|at| feed.after(at).nth(1).is_some());
+            if behind && follower.warned < feed.revision && follower.warned > Revision::default() {
+                // Where the history does not reach back, any may be news to it.
+                let news: BTreeSet<&Name> = match feed.covers(follower.warned) {
+                    true => feed.after(follower.warned).flat_map(|kept| kept.out.iter()).collect(),
+                    false => feed.table.out.iter().collect(),
+                };
+                let out = news.into_iter().filter(|node| feed.table.out.contains(*node)).cloned();
+                let out: Vec<Name> = out.collect();
+                follower.warned = feed.revision;
+                if !out.is_empty() {
+                    let (epoch, revision) = (self.epoch.clone(), feed.revision);
+                    self.counters.add("withdrawals ahead", 1);
+                    let withdrawal = Withdrawal { epoch, revision, out };
+                    return Next::Send(self.codec.encode(&Line::Withdrawal(withdrawal)));
+                }
+            }
+            match follower.at {
+                Some(at) => {
+                    if let Some(kept) = feed.after(at).next() {
+                        (follower.at, follower.beaten) = (Some(kept.revision), now);
+                        follower.warned = follower.warned.max(kept.revision);
+                        return Next::Send(kept.bytes.clone());
+                    }
+                }
+                None => {
+                    let (room, since) = &mut self.room;
+                    let pace = self.limits.catch_up_lines as f64;
+                    *room = (*room + (now - *since).seconds() * pace).min(pace * BURST);
+                    *since = now;
+                    follower.waits = *room <= 0.0;
+                    if !follower.waits {
+                        let known = feed
+                            .snapshot
+                            .as_ref()
+                            .filter(|(at, roster, ..)| (*at, *roster) == (feed.revision, self.roster));
+                        let (bytes, cost) = match known {
+                            Some((_, _, bytes, cost)) => (bytes.clone(), *cost),
+                            None => {
+                                let point =
+                                    Point { epoch: self.epoch.clone(), feed: id, revision: feed.revision };
+                                let (parts, roster) = (feed.table.whole(), self.roster);
+                                let mark =
+                                    feed.mark.filter(|(at, _)| *at == feed.revision).map(|(_, mark)| mark);
+                                let step = Step { point, base: None, roster, parts, mark };
+                                let (bytes, cost) = (encode(&self.codec, &step), step.cost());
+                                self.counters.add("snapshots encoded", 1);
+                                self.counters.add("bytes encoded", bytes.len() as u64);
+                                feed.snapshot = Some((feed.revision, roster, bytes.clone(), cost));
+                                (bytes, cost)
+                            }
+                        };
+                        // What is there is never too little for one, so that none waits for good.
+                        *room -= cost as f64;
+                        self.counters.add("snapshots sent", 1);
+                        (follower.at, follower.beaten) = (Some(feed.revision), now);
+                        (follower.warned, follower.owed) = (feed.revision, !self.live);
+                        return Next::Send(bytes);
+                    }
+                }
+            }
+        }
+        if follower.owed || now >= follower.beaten + self.limits.beat {
+            (follower.owed, follower.beaten) = (false, now);
+            let at = follower.feed.zip(follower.at);
+            // Before it has caught up a beat only tells that the sender lives.
+            let beat = Beat { epoch: self.epoch.clone(), at, roster: self.roster, live: self.live };
+            return Next::Send(self.codec.encode(&Line::Beat(beat)));
+        }
+        Next::Wait
+    }
+}
--- /dev/null
+++ b/crates/channel/src/net/server.rs
@@ -0,0 +1,500 @@
+//! The publisher's address: streams of lines, signs of life, and what is known of it, as a tower service over
+//! hyper.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use oatpitch::interface::{ProxyId, Time, ZoneId};
+use oatpitch_memory::ConnId;
+use oatpitch_memory::message::Message;
+use serde::Deserialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tower::Service;
+
+use super::{Clock, span};
+use crate::core::codec::{Codec, Json};
+use crate::core::line::*;
+use crate::core::publisher::{Act, Alive, Ask, Next, Publisher, StreamId};
+use crate::core::table::Table;
+
+/// What the host is told. Places are connections to it.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Join(ConnId, SocketAddr, Ask),
+    Leave(ConnId),
+    Answered(ConnId, ProxyId, u16, Time),
+}
+
+/// Of a connection's first bytes, and between two of its exchanges.
+const HEAD_LONGEST: Duration = Duration::from_millis(3_000);
+/// A sign of life is a few hundred bytes.
+const BODY_LONGEST: usize = 16 << 10;
+/// Bytes of a connection's own buffers: heads are short, and what is sent is shared.
+const BUFFER: usize = 8 << 10;
+/// Connections beside the streams, for signs of life: as many again, and some for strangers.
+const STRANGERS: usize = 64;
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long streams have to take what ends them when the publisher stops.
+const FAREWELL: Duration = Duration::from_millis(100);
+
+/// Who may follow, and how.
+pub struct Terms {
+    /// By name; none where any zone will do.
+    pub zones: Option<Vec<String>>,
+    pub proxies: u32,
+    /// Streams at once.
+    pub subscribers: usize,
+    /// Followers are bound here, as there is but one feed.
+    pub relay: bool,
+}
+
+struct Inner {
+    publisher: Publisher<Json>,
+    wakers: BTreeMap<StreamId, Option<Waker>>,
+    peers: BTreeMap<ConnId, SocketAddr>,
+    streams: u64,
+    terms: Terms,
+    clock: Clock,
+    /// A place for the next follower.
+    place: Rc<dyn Fn() -> ConnId>,
+    events: mpsc::Sender<Event>,
+}
+
+/// A handle on the publisher that all its connections share.
+#[derive(Clone)]
+pub struct Server(Rc<RefCell<Inner>>);
+
+impl Server {
+    pub fn new(
+        publisher: Publisher<Json>,
+        terms: Terms,
+        clock: Clock,
+        place: Rc<dyn Fn() -> ConnId>,
+        events: mpsc::Sender<Event>,
+    ) -> Server {
+        let (wakers, peers) = Default::default();
+        Server(Rc::new(RefCell::new(Inner {
+            publisher,
+            wakers,
+            peers,
+            streams: 0,
+            terms,
+            clock,
+            place,
+            events,
+        })))
+    }
+
+    /// Changes the publisher, and wakes the streams that this concerns. For what the host hears nothing of.
+    pub fn publish<T>(&self, change: impl FnOnce(&mut Publisher<Json>, Time) -> (T, Vec<Act>)) -> T {
+        let mut inner = self.0.borrow_mut();
+        let now = (inner.clock)();
+        let (out, acts) = change(&mut inner.publisher, now);
+        for act in acts {
+            if let Act::Stir(stream) = act {
+                inner.stir(stream);
+            }
+        }
+        out
+    }
+
+    pub fn order(&self, to: &[ConnId], message: &Message) {
+        self.0.borrow_mut().publisher.order(to, message);
+    }
+
+    /// The turn is over.
+    pub fn close(&self, now: Time, roster: u64) {
+        self.publish(|publisher, _| ((), publisher.close(now, roster)));
+    }
+
+    pub fn renew(&self, limits: crate::core::publisher::Limits) {
+        self.publish(|publisher, _| (publisher.renew(limits), Vec::new()));
+    }
+
+    /// For the log.
+    pub fn figures(&self) -> String {
+        let inner = self.0.borrow();
+        let [followers, broken, feeds] = inner.publisher.figures();
+        format!("followers={followers}, without stream={broken}, feeds={feeds}, {}", inner.publisher.counters)
+    }
+
+    pub fn follows(&self, conn: ConnId) -> bool {
+        self.0.borrow().publisher.follows(conn)
+    }
+
+    /// The host has ended a connection.
+    pub fn end(&self, conn: ConnId) {
+        self.publish(|publisher, _| ((), publisher.end(conn)));
+    }
+
+    /// For a relay.
+    pub fn relay(&self, point: &Point, roster: u64, mark: Option<u16>, table: &Table) {
+        self.publish(|publisher, _| ((), publisher.relay(point, roster, mark, table)));
+    }
+
+    /// Everybody is told that this is over, and has a moment to hear it.
+    pub async fn stop(&self) {
+        self.publish(|publisher, _| ((), publisher.stop()));
+        tokio::time::sleep(FAREWELL).await;
+    }
+
+    /// What the host hears is told in order; whoever brings it waits for room.
+    async fn carry(&self, acts: Vec<Act>) {
+        for act in acts {
+            let (event, events) = {
+                let mut inner = self.0.borrow_mut();
+                let event = match act {
+                    Act::Stir(stream) => {
+                        inner.stir(stream);
+                        continue;
+                    }
+                    Act::Join(conn, ask) => {
+                        let peer = inner.peers.get(&conn).copied();
+                        Event::Join(conn, peer.unwrap_or(([0, 0, 0, 0], 0).into()), ask)
+                    }
+                    Act::Leave(conn) => {
+                        inner.peers.remove(&conn);
+                        Event::Leave(conn)
+                    }
+                    Act::Answered(conn, proxy, mark, took) => Event::Answered(conn, proxy, mark, took),
+                };
+                (event, inner.events.clone())
+            };
+            // The host is gone only when everything stops.
+            let _ = events.send(event).await;
+        }
+    }
+
+    /// Lets time pass, for good.
+    async fn tick(self) {
+        loop {
+            let pause = {
+                let inner = self.0.borrow();
+                let limits = inner.publisher.limits();
+                span(Time(limits.beat.0.min(limits.silent.0) / 4))
+                    .clamp(Duration::from_millis(5), Duration::from_millis(250))
+            };
+            tokio::time::sleep(pause).await;
+            let acts = {
+                let mut inner = self.0.borrow_mut();
+                let now = (inner.clock)();
+                inner.publisher.tick(now)
+            };
+            self.carry(acts).await;
+        }
+    }
+}
+
+impl Inner {
+    fn stir(&mut self, stream: StreamId) {
+        self.wakers.get_mut(&stream).and_then(Option::take).into_iter().for_each(Waker::wake);
+    }
+}
+
+/// The body of one stream: each frame is what the publisher has for it next, asked for only once there is room.
+pub struct Stream {
+    server: Server,
+    id: StreamId,
+    over: bool,
+}
+
+impl Body for Stream {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.over {
+            return Poll::Ready(None);
+        }
+        let next = {
+            let mut inner = self.server.0.borrow_mut();
+            let (now, id) = ((inner.clock)(), self.id);
+            let next = inner.publisher.next(now, id);
+            if next == Next::Wait {
+                inner.wakers.insert(id, Some(context.waker().clone()));
+            }
+            next
+        };
+        match next {
+            Next::Send(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Next::Wait => Poll::Pending,
+            Next::Last(bytes) => {
+                self.over = true;
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Next::End => Poll::Ready(None),
+        }
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        let mut inner = self.server.0.borrow_mut();
+        let now = (inner.clock)();
+        inner.wakers.remove(&self.id);
+        inner.publisher.detach(now, self.id);
+    }
+}
+
+type Answer = Response<Either<Full<Bytes>, Stream>>;
+
+/// Serves what one connection asks for.
+#[derive(Clone)]
+struct Front {
+    server: Server,
+    peer: SocketAddr,
+    /// It has asked for something that makes sense.
+    known: Rc<Cell<bool>>,
+}
+
+impl Service<Request<Incoming>> for Front {
+    type Response = Answer;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Answer, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, ask: Request<Incoming>) -> Self::Future {
+        let front = self.clone();
+        Box::pin(async move {
+            let answer = match (ask.uri().path(), ask.method()) {
+                ("/v1/follow", &Method::GET) => front.follow(ask.uri().query().unwrap_or_default()).await,
+                ("/v1/alive", &Method::POST) => front.alive(ask).await,
+                ("/v1/state", &Method::GET) => Ok(front.state()),
+                ("/v1/follow" | "/v1/state", _) => Err(wrong_method("GET")),
+                ("/v1/alive", _) => Err(wrong_method("POST")),
+                _ => Err(told(
+                    StatusCode::NOT_FOUND,
+                    "nothing here; this speaks /v1/follow, /v1/alive, /v1/state",
+                    None,
+                )),
+            };
+            Ok(answer.unwrap_or_else(|refused| refused))
+        })
+    }
+}
+
+fn answer(status: StatusCode, body: &serde_json::Value) -> Answer {
+    let mut answer = Response::new(Either::Left(Full::new(Bytes::from(body.to_string() + "\n"))));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn told(status: StatusCode, error: &str, key: Option<&str>) -> Answer {
+    answer(status, &serde_json::json!({"error": error, "key": key}))
+}
+
+fn wrong_method(allowed: &'static str) -> Answer {
+    let mut refused = told(StatusCode::METHOD_NOT_ALLOWED, &format!("{allowed} is meant"), None);
+    refused.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    refused
+}
+
+/// What a subscriber says in its query, each field by its key.
+fn asked(query: &str, terms: &Terms) -> Result<Ask, (&'static str, &'static str)> {
+    let mut fields: BTreeMap<String, String> = BTreeMap::new();
+    for (key, value) in form_urlencoded::parse(query.as_bytes()) {
+        fields.insert(key.into_owned(), value.into_owned());
+    }
+    let field = |key: &'static str| fields.get(key).map(String::as_str);
+    let need = |key: &'static str| field(key).ok_or((key, "is missing"));
+    let proxy: u16 = need("proxy")?.parse().map_err(|_| ("proxy", "is no number of a proxy"))?;
+    if u32::from(proxy) >= terms.proxies {
+        return Err(("proxy", "is beyond the proxies that there are"));
+    }
+    let zone = need("zone")?;
+    let zone = match &terms.zones {
+        Some(zones) => {
+            zones.iter().position(|known| known == zone).ok_or(("zone", "is no zone known here"))?
+        }
+        None => 0,
+    };
+    let rate: f64 = field("rate").unwrap_or("1").parse().map_err(|_| ("rate", "is no number"))?;
+    if !(0.0..=100_000.0).contains(&rate) {
+        return Err(("rate", "is out of range: exchanges a second, 0 to 100000"));
+    }
+    let whole = |key| match field(key) {
+        Some(text) => text.parse::<u64>().map(Some).map_err(|_| (key, "is no whole number")),
+        None => Ok(None),
+    };
+    let (feed, revision) = (whole("feed")?, whole("revision")?);
+    let feed = feed.map(u32::try_from).transpose().map_err(|_| ("feed", "is no number of a feed"))?;
+    let epoch = field("epoch").map(|text| Epoch::read(text).ok_or(("epoch", "is no epoch"))).transpose()?;
+    let resume = match (epoch, feed, revision) {
+        (Some(epoch), Some(feed), Some(revision)) => {
+            Some(Point { epoch, feed: FeedId(feed), revision: Revision(revision) })
+        }
+        (None, None, None) => None,
+        _ => return Err(("epoch", "goes with feed and revision, or none of the three")),
+    };
+    let fresh = match field("fresh") {
+        None => resume.is_none(),
+        Some("true") => true,
+        Some("false") => false,
+        Some(_) => return Err(("fresh", "is neither true nor false")),
+    };
+    Ok(Ask { proxy: ProxyId(proxy), zone: ZoneId(zone as u16), rate, fresh, resume })
+}
+
+#[derive(Deserialize)]
+struct Sign {
+    session: String,
+    #[serde(default)]
+    marks: Vec<u16>,
+}
+
+impl Front {
+    async fn follow(&self, query: &str) -> Result<Answer, Answer> {
+        let (stream, acts) = {
+            let mut inner = self.server.0.borrow_mut();
+            let ask = asked(query, &inner.terms)
+                .map_err(|(key, what)| told(StatusCode::BAD_REQUEST, &format!("{key} {what}"), Some(key)))?;
+            if inner.wakers.len() >= inner.terms.subscribers {
+                let mut full = told(StatusCode::SERVICE_UNAVAILABLE, "all places are taken", None);
+                full.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+                return Err(full);
+            }
+            self.known.set(true);
+            inner.streams += 1;
+            let (stream, place, now) = (StreamId(inner.streams), (inner.place)(), (inner.clock)());
+            inner.wakers.insert(stream, None);
+            inner.peers.insert(place, self.peer);
+            let acts = inner.publisher.attach(now, stream, place, ask);
+            if !inner.publisher.follows(place) {
+                // An earlier place was taken up again.
+                inner.peers.remove(&place);
+            } else if inner.terms.relay {
+                inner.publisher.bind_only(place);
+            }
+            (stream, acts)
+        };
+        // Made before anything is awaited: dropped with the connection, it gives the stream up.
+        let body = Stream { server: self.server.clone(), id: stream, over: false };
+        self.server.carry(acts).await;
+        let mut answer = Response::new(Either::Right(body));
+        let media = self.server.0.borrow().publisher.codec().media();
+        answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media));
+        answer.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        Ok(answer)
+    }
+
+    async fn alive(&self, ask: Request<Incoming>) -> Result<Answer, Answer> {
+        let bad = |what: &str| told(StatusCode::BAD_REQUEST, what, None);
+        let body = Limited::new(ask.into_body(), BODY_LONGEST).collect().await;
+        let body = body.map_err(|_| bad("a body that can't be read, or is too long"))?.to_bytes();
+        let sign: Sign = serde_json::from_slice(&body).map_err(|cause| bad(&cause.to_string()))?;
+        let session = u64::from_str_radix(&sign.session, 16).map_err(|_| {
+            told(StatusCode::BAD_REQUEST, "session is no hexadecimal number", Some("session"))
+        })?;
+        let acts = {
+            let mut inner = self.server.0.borrow_mut();
+            let now = (inner.clock)();
+            inner.publisher.alive(now, &Alive { session, marks: sign.marks })
+        };
+        let gone = || told(StatusCode::GONE, "no such session: follow again", Some("session"));
+        let acts = acts.ok_or_else(gone)?;
+        self.known.set(true);
+        self.server.carry(acts).await;
+        let mut answer = Response::new(Either::Left(Full::default()));
+        *answer.status_mut() = StatusCode::NO_CONTENT;
+        Ok(answer)
+    }
+
+    fn state(&self) -> Answer {
+        let inner = self.server.0.borrow();
+        let [followers, broken, feeds] = inner.publisher.figures();
+        self.known.set(true);
+        answer(
+            StatusCode::OK,
+            &serde_json::json!({"v": VERSION, "epoch": inner.publisher.epoch().to_string(),
+                "followers": followers, "without_stream": broken, "feeds": feeds,
+                "counters": inner.publisher.counters.to_string()}),
+        )
+    }
+}
+
+/// Takes connections for good. Of too many, those that never asked for anything make room, the oldest first.
+pub async fn serve(server: Server, listener: TcpListener) {
+    spawn_local(server.clone().tick());
+    let mut strangers: VecDeque<(AbortHandle, Rc<Cell<bool>>)> = VecDeque::new();
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let Ok((socket, peer)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let most = server.0.borrow().terms.subscribers.saturating_mul(2).saturating_add(STRANGERS);
+        strangers.retain(|(task, known)| !known.get() && !task.is_finished());
+        while strangers.len() >= STRANGERS || open.get() >= most {
+            let Some((oldest, _)) = strangers.pop_front() else { break };
+            oldest.abort();
+            server.0.borrow_mut().publisher.counters.add("strangers ended for room", 1);
+            tokio::task::yield_now().await;
+        }
+        if open.get() >= most {
+            // All are followers: another would not be taken either.
+            server.0.borrow_mut().publisher.counters.add("connections refused", 1);
+            continue;
+        }
+        let known = Rc::new(Cell::new(false));
+        let front = Front { server: server.clone(), peer, known: known.clone() };
+        let counted = Counted::of(&open);
+        let task = spawn_local(async move {
+            let _counted = counted;
+            converse(front, socket).await;
+        });
+        strangers.push_back((task.abort_handle(), known));
+    }
+}
+
+/// One open connection, as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn of(open: &Rc<Cell<usize>>) -> Counted {
+        open.set(open.get() + 1);
+        Counted(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn converse(front: Front, socket: TcpStream) {
+    // A connection already broken tells so when it is read.
+    let _ = socket.set_nodelay(true);
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LONGEST)
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(socket), TowerToHyperService::new(front))
+        .await;
+    // Whoever breaks off has nobody to be told.
+    drop(served);
+}
--- /dev/null
+++ b/crates/conductor/src/run/channel.rs
@@ -0,0 +1,90 @@
+//! The snapshot channel at a conductor: its followers come to the reducer as what any proxy's connection would
+//! say, and what the reducer orders for them goes to the publisher.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use anyhow::{Context, Result};
+use oatpitch::interface::{Mandate, Repeat, Time};
+use oatpitch_channel::core::codec::Json;
+use oatpitch_channel::core::line::{ClassTerms, Epoch, name};
+use oatpitch_channel::core::publisher::{Limits, Publisher};
+use oatpitch_channel::net::Clock;
+use oatpitch_channel::net::server::{Event, Server, Terms, serve};
+use oatpitch_memory::heard::Said;
+use oatpitch_memory::{ConnId, Ending, Input};
+use oatpitch_operator::records::channel::Channel;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use crate::wire::limits;
+
+pub fn limits(record: &Channel) -> Limits {
+    Limits {
+        waiting_lines: record.waiting_lines,
+        history: record.history,
+        history_bytes: record.history_bytes,
+        catch_up_lines: record.catch_up_lines,
+        beat: record.beat,
+        silent: record.silent,
+        linger: record.linger,
+    }
+}
+
+/// Whose life this is, and what it publishes.
+pub struct Origin<'a> {
+    pub conductor: &'a str,
+    pub started: Time,
+    pub mandate: &'a Mandate,
+    pub classes: &'a [String],
+    pub zones: &'a [String],
+    pub seed: u64,
+}
+
+/// Opens the channel's address.
+pub async fn open(
+    record: &Channel,
+    origin: &Origin<'_>,
+    clock: Clock,
+    place: Rc<dyn Fn() -> ConnId>,
+) -> Result<(Server, mpsc::Receiver<Event>)> {
+    let listener = TcpListener::bind(record.listen)
+        .await
+        .with_context(|| format!("channel.listen: {}", record.listen))?;
+    let terms = origin.mandate.exchanges.iter().zip(origin.classes);
+    let class = |(terms, class): (&oatpitch::interface::ExchangeTerms, &String)| ClassTerms {
+        name: name(class),
+        effect: terms.repeat != Repeat::Safe,
+    };
+    let epoch = Epoch { conductor: name(origin.conductor), life: origin.started.0 };
+    let lineage = name(&record.lineage);
+    let publisher =
+        Publisher::new(Json, limits(record), epoch, lineage, terms.map(class).collect(), origin.seed);
+    let (events, heard) = mpsc::channel(limits::INBOX_MOST);
+    let terms = Terms {
+        zones: Some(origin.zones.to_vec()),
+        proxies: origin.mandate.proxies,
+        subscribers: record.subscribers,
+        relay: false,
+    };
+    let server = Server::new(publisher, terms, clock, place, events);
+    spawn_local(serve(server.clone(), listener));
+    Ok((server, heard))
+}
+
+/// What followers do, as the reducer hears it of any proxy.
+pub fn inputs(event: Event) -> Vec<Input> {
+    let joined = |peer: SocketAddr, conn, ask: oatpitch_channel::core::publisher::Ask| {
+        let (proxy, zone, rate, fresh) = (ask.proxy, ask.zone, ask.rate, ask.fresh);
+        let said = Said::Joined { proxy, zone, rate, fresh, anew: true };
+        vec![Input::Opened(conn, peer), Input::Said(conn, said)]
+    };
+    match event {
+        Event::Join(conn, peer, ask) => joined(peer, conn, ask),
+        Event::Leave(conn) => vec![Input::Ended(conn, Ending::Closed)],
+        Event::Answered(conn, proxy, mark, took) => {
+            vec![Input::Said(conn, Said::Acknowledged { proxy, mark: mark.into(), took })]
+        }
+    }
+}
--- /dev/null
+++ b/crates/conductor/src/run/command.rs
@@ -0,0 +1,67 @@
+//! The command line: what `oatpitch` is asked to do, and the exit codes that it answers with.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// A control plane for a service's proxies.
+///
+/// Without a sub-command it serves: NODE_CONFIG names the configuration, and NODE_NAME, NODE_LISTEN and
+/// NODE_DISCOVERY go before what it says.
+#[derive(Debug, Parser)]
+#[command(name = "oatpitch", version, after_help = CODES)]
+pub struct Line {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    #[command(flatten)]
+    pub operator: Operator,
+}
+
+const CODES: &str = "Exit codes: 0 all went well; 1 it could not start or go on, with one line that says why; \
+2 the command line can't be understood; 3 a file was checked and something in it is wrong.";
+
+/// Where what operators set is read from.
+#[derive(Args, Clone, Debug, Default)]
+pub struct Operator {
+    /// A file of the operator's own; several are unified into one. NODE_OPERATOR names one where none is given.
+    #[arg(long = "operator", value_name = "FILE", global = true)]
+    pub files: Vec<PathBuf>,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Runs the conductor, as no sub-command does.
+    Serve,
+    /// Reads files of the operator's, and prints what is settled by them, or all that is wrong.
+    #[command(after_help = CODES)]
+    Check {
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// Prints the settled values as one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Follows the snapshot channel of conductors or relays, and prints a JSON object for every table applied.
+    #[command(after_help = CODES)]
+    Follow {
+        /// Where the channel is published; of several the next is tried where one fails.
+        #[arg(required = true, value_name = "ADDRESS")]
+        hosts: Vec<SocketAddr>,
+        /// The proxy's number.
+        #[arg(long, value_name = "N")]
+        proxy: u16,
+        /// Its zone, by name.
+        #[arg(long)]
+        zone: String,
+        /// Its usual exchanges a second.
+        #[arg(long, default_value_t = 1.0)]
+        rate: f64,
+        /// Ends after so many tables.
+        #[arg(long, value_name = "TABLES")]
+        count: Option<u64>,
+    },
+    /// Follows one conductor's snapshot channel and publishes it to many, as `relay` of the operator's file says.
+    #[command(after_help = CODES)]
+    Relay,
+}
--- /dev/null
+++ b/crates/conductor/src/run/follow.rs
@@ -0,0 +1,116 @@
+//! `oatpitch follow` and `oatpitch relay`: the snapshot channel's other end.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, anyhow};
+use oatpitch_channel::core::subscriber::{Act, Patience, State, Subscriber};
+use oatpitch_channel::net::client::{Identity, follow};
+use oatpitch_channel::net::{relay, system_clock};
+use oatpitch_operator::records::channel::{Channel, Hold, Relay};
+use serde_json::{Map, json};
+use slog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{channel, log};
+
+pub fn patience(hold: &Hold, silent: oatpitch::interface::Time) -> Patience {
+    let Hold { effects, unordered, retry, retry_most } = *hold;
+    Patience { effects, unordered, retry, retry_most, silent }
+}
+
+/// Without anything stated by the other end, it is given up after so long.
+const SILENT: oatpitch::interface::Time = oatpitch::interface::Time::from_ms(5_000);
+
+/// Prints every table applied, until as many have come or it is ended.
+pub async fn print(hosts: &[SocketAddr], identity: &Identity, hold: &Hold, count: Option<u64>) -> Result<()> {
+    let (logger, guard) = log::start("follow");
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut left = count.unwrap_or(u64::MAX);
+    let seed = fastrand::u64(..);
+    let watcher = |subscriber: &Subscriber, acts: &[Act]| {
+        for act in acts {
+            match act {
+                Act::Applied | Act::Shut(_) => {
+                    let shown = shown(subscriber).to_string();
+                    // Nobody reads on: nothing more is wanted.
+                    if writeln!(std::io::stdout().lock(), "{shown}").is_err() {
+                        return false;
+                    }
+                    left = left.saturating_sub(1);
+                    if left == 0 {
+                        return false;
+                    }
+                }
+                Act::Became { from, to, why } if *to == State::Current => {
+                    info!(logger, "{from} to {to}: {why}");
+                }
+                Act::Became { from, to, why } => warn!(logger, "{from} to {to}: {why}"),
+                Act::Dial { .. } | Act::Drop(_) | Act::Alive { .. } => {}
+            }
+        }
+        true
+    };
+    let following = follow(hosts, identity, patience(hold, SILENT), system_clock(), seed, watcher);
+    tokio::select! {
+        () = following => {}
+        _ = stop.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    log::finish(guard);
+    Ok(())
+}
+
+/// What a table says, as one object: where it stands, and for each class the nodes and their weights.
+fn shown(subscriber: &Subscriber) -> serde_json::Value {
+    let mut classes = Map::new();
+    for terms in subscriber.classes() {
+        let nodes: BTreeMap<&str, f32> =
+            subscriber.open(&terms.name).map(|(node, weight)| (&**node, weight)).collect();
+        classes.insert(terms.name.to_string(), json!(nodes));
+    }
+    let position = subscriber.position();
+    json!({
+        "epoch": position.map(|position| position.epoch.to_string()),
+        "feed": position.map(|position| position.feed.0),
+        "revision": position.map(|position| position.revision.0),
+        "lineage": position.map(|position| position.lineage.to_string()),
+        "roster": position.map(|position| position.roster),
+        "state": subscriber.state().to_string(),
+        "out": subscriber.table().out.iter().map(|node| node.to_string()).collect::<Vec<_>>(),
+        "nodes": classes,
+    })
+}
+
+/// Relays until it is ended.
+pub async fn pass_on(record: Option<&Relay>) -> Result<()> {
+    let record = record.ok_or_else(|| anyhow!("relay: not set in the operator's file"))?;
+    if record.origins.is_empty() {
+        return Err(anyhow!("relay.origins: names no address"));
+    }
+    let (logger, guard) = log::start("relay");
+    let mut stop = signal(SignalKind::terminate())?;
+    let publish: &Channel = &record.publish;
+    let listener = TcpListener::bind(publish.listen)
+        .await
+        .with_context(|| format!("relay.publish.listen: {}", publish.listen))?;
+    info!(logger, "relaying to {} from {:?}", publish.listen, record.origins);
+    let charge = relay::Charge {
+        origins: record.origins.clone(),
+        identity: Identity { proxy: record.proxy, zone: record.zone.clone(), rate: record.rate },
+        patience: patience(&record.hold, SILENT),
+        limits: channel::limits(publish),
+        subscribers: publish.subscribers,
+        seed: fastrand::u64(..),
+    };
+    let say = |text: String| info!(logger, "{text}");
+    tokio::select! {
+        () = relay::relay(charge, listener, system_clock(), say) => {}
+        _ = stop.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    log::finish(guard);
+    Ok(())
+}
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -1,21 +1,30 @@
 //! Start and stop: reads the configuration, opens the sockets, and goes from turn to turn until a signal.
 
+mod channel;
 mod clock;
+mod command;
 mod config;
+mod follow;
 mod log;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
+use clap::Parser;
+use oatpitch_channel::net::client::Identity;
+use oatpitch_channel::net::server::{Event, Server};
 use oatpitch_memory::counters::Counters;
 use oatpitch_memory::reducer::{Memory, Start};
 use oatpitch_memory::{ConnId, Effect, Ending, Grade, Input};
+use oatpitch_operator::records::channel::Channel;
+use oatpitch_operator::{Operator, Settled};
 use slog::{Logger, error, info, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -28,14 +37,29 @@
 use crate::wire::stream::{Budget, Outbox, Reader};
 use crate::wire::{limits, peers, push, roster, stream};
 use clock::Clock;
+use command::{Command, Line};
 use config::{Occasion, Peers, Posting};
 
-/// Reads the configuration and runs; what is wrong is told in one line.
+/// A file was checked, and something in it is wrong.
+const WRONG: u8 = 3;
+
+/// Does what the command line asks for; what is wrong is told in one line.
 pub fn main() -> ExitCode {
-    let started = read(Occasion::Start).and_then(|posting| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, conduct(posting))
-    });
+    let line = Line::parse();
+    let files = line.operator.files;
+    let started = match line.command {
+        None | Some(Command::Serve) => settled(&files).and_then(|settled| {
+            let posting = read(Occasion::Start)?;
+            run(conduct(posting, files, settled.operator))
+        }),
+        Some(Command::Check { files, json }) => return check(&files, json),
+        Some(Command::Follow { hosts, proxy, zone, rate, count }) => settled(&files).and_then(|settled| {
+            let identity = Identity { proxy, zone, rate };
+            run(async move { follow::print(&hosts, &identity, &settled.operator.follow.hold, count).await })
+        }),
+        Some(Command::Relay) => settled(&files)
+            .and_then(|settled| run(async move { follow::pass_on(settled.operator.relay.as_ref()).await })),
+    };
     match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(trouble) => {
@@ -46,6 +70,47 @@
     }
 }
 
+fn run(job: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, job)
+}
+
+/// What operators have set: in the files named, or in the one that NODE_OPERATOR names.
+fn settled(files: &[PathBuf]) -> Result<Settled> {
+    let named: Vec<PathBuf> = std::env::var_os("NODE_OPERATOR").map(PathBuf::from).into_iter().collect();
+    Ok(oatpitch_operator::read(if files.is_empty() { &named } else { files })?)
+}
+
+/// Prints what files settle, or all that is wrong with them.
+fn check(files: &[PathBuf], json: bool) -> ExitCode {
+    match oatpitch_operator::read(files) {
+        Ok(settled) => {
+            let lines = if json { format!("{}\n", settled.shown) } else { listed("", &settled.shown) };
+            // Where nobody reads it, the exit code still tells.
+            let _ = std::io::stdout().write_all(lines.as_bytes());
+            ExitCode::SUCCESS
+        }
+        Err(trouble) => {
+            let mut all = std::io::stderr().lock();
+            for told in &trouble.0 {
+                let _ = writeln!(all, "{told}\n{}", told.shown);
+            }
+            ExitCode::from(WRONG)
+        }
+    }
+}
+
+/// A line for every settled key, with its full path.
+fn listed(path: &str, value: &serde_json::Value) -> String {
+    match value.as_object() {
+        Some(record) => {
+            let path = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+            record.iter().map(|(key, value)| listed(&path(key), value)).collect()
+        }
+        None => format!("{path}: {}\n", value.as_str().map_or_else(|| value.to_string(), String::from)),
+    }
+}
+
 fn read(occasion: Occasion) -> Result<Posting> {
     config::read(occasion, |name| std::env::var(name).ok())
 }
@@ -63,6 +128,7 @@
     peers: Peers,
     datagrams: Option<Rc<UdpSocket>>,
     wake: Option<oatpitch::interface::Time>,
+    channel: Option<Server>,
 }
 
 type Conns = Rc<std::cell::RefCell<BTreeMap<ConnId, Conn>>>;
@@ -78,7 +144,7 @@
     }
 }
 
-async fn conduct(posting: Posting) -> Result<()> {
+async fn conduct(posting: Posting, files: Vec<PathBuf>, operator: Operator) -> Result<()> {
     let (log, guard) = log::start(&posting.name);
     let (mut stop, mut stop_too) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut renew = signal(SignalKind::hangup())?;
@@ -95,13 +161,33 @@
     });
     let (room, nodes) = (limits::room(posting.memory_mb, posting.sockets), posting.known.entries.len());
     let places = posting.sockets - limits::SOCKETS_OWN;
+    let next = Rc::new(Cell::new(0));
+    let (server, mut events) = match &operator.channel {
+        Some(record) => {
+            let origin = channel::Origin {
+                conductor: &posting.name,
+                started: clock.now(),
+                mandate: &posting.charge.mandate,
+                classes: &posting.charge.classes,
+                zones: &posting.charge.zones,
+                seed: posting.seed,
+            };
+            let (next, now) = (next.clone(), Rc::new(move || clock.now()));
+            let place = Rc::new(move || ConnId(next.replace(next.get() + 1)));
+            let (server, events) = channel::open(record, &origin, now, place).await?;
+            info!(log, "publishing on {}", record.listen);
+            (Some(server), Some(events))
+        }
+        None => (None, None),
+    };
+    let followers = operator.channel.as_ref().map_or(0, |record| record.subscribers);
     let start = Start {
         mandate: posting.charge.mandate,
         classes: posting.charge.classes.len() as u16,
         seed: posting.seed,
         known: posting.known,
         discovery: posting.discovery,
-        places,
+        places: places + followers,
     };
     let mut turned = clock.now();
     let (mut memory, effects) = Memory::begin(turned, start);
@@ -123,14 +209,17 @@
         peers: posting.peers,
         datagrams: datagrams.clone(),
         wake: None,
+        channel: server,
     };
     info!(log, "listening on {}, seed {:016x}, nodes known: {nodes}", posting.listen, posting.seed);
     let reader = Reader { terms, inbox: inbox.clone(), budget: Budget::of(room) };
-    spawn_local(accept(listener, reader, hands.conns.clone(), Rc::new(Semaphore::new(places))));
+    spawn_local(accept(listener, reader, hands.conns.clone(), Rc::new(Semaphore::new(places)), next));
     if let Some(socket) = datagrams {
         spawn_local(hear_peers(socket, hands.peers.each.clone(), inbox.clone()));
     }
     let mut clogged = hands.carry_out(effects, &mut memory.counters);
+    hands.publish(turned, memory.settled());
+    let mut operator = operator;
     loop {
         let mut gathered: Vec<Input> = std::mem::take(&mut clogged);
         let wake = hands.wake.map(|at| clock.instant(at));
@@ -144,12 +233,17 @@
                     let read = read(Occasion::Renewal);
                     let renewal = read.map(|posting| (posting.discovery, stated.fixed(&posting)));
                     gathered.push(Input::Renewed(renewal.map_err(|trouble| format!("{trouble:#}"))));
+                    gathered.push(Input::Noted(hands.renew(&mut operator, &files)));
                 }
                 _ = show.recv() => {
                     info!(log, "counters: {}", memory.counters);
+                    if let Some(server) = &hands.channel {
+                        info!(log, "channel: {}", server.figures());
+                    }
                     continue;
                 }
                 input = inputs.recv() => gathered.extend(input),
+                Some(event) = next_event(&mut events) => gathered.extend(channel::inputs(event)),
                 () = sleep(wake) => {}
             }
         }
@@ -162,15 +256,32 @@
             let Ok(input) = inputs.try_recv() else { break };
             gathered.push(input);
         }
+        while let Some(events) = events.as_mut().filter(|_| gathered.len() < limits::TURN_MOST) {
+            let Ok(event) = events.try_recv() else { break };
+            gathered.extend(channel::inputs(event));
+        }
         gathered.push(Input::Bell);
         let effects = memory.turn(turned, gathered);
         clogged = hands.carry_out(effects, &mut memory.counters);
+        hands.publish(turned, memory.settled());
+    }
+    if let Some(server) = &hands.channel {
+        server.stop().await;
+        info!(log, "channel: {}", server.figures());
     }
     info!(log, "stopped; counters: {}", memory.counters);
     log::finish(guard);
     Ok(())
 }
 
+/// Nothing, for good, where no channel is published.
+async fn next_event(events: &mut Option<mpsc::Receiver<Event>>) -> Option<Event> {
+    match events {
+        Some(events) => events.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep(until: Option<Instant>) {
     match until {
         Some(until) => tokio::time::sleep_until(until).await,
@@ -186,12 +297,21 @@
         self.wake = None;
         for effect in effects {
             match effect {
-                Effect::Order(to, message) => {
-                    let bytes = push::encode(&message.parts, &self.terms.classes, counters);
-                    clogged.extend(to.into_iter().filter_map(|conn| self.write(conn, bytes.clone())));
+                Effect::Order(mut to, message) => {
+                    if let Some(server) = &self.channel {
+                        server.order(&to, &message);
+                        to.retain(|conn| !server.follows(*conn));
+                    }
+                    if !to.is_empty() {
+                        let bytes = push::encode(&message.parts, &self.terms.classes, counters);
+                        clogged.extend(to.into_iter().filter_map(|conn| self.write(conn, bytes.clone())));
+                    }
                 }
                 Effect::Alive(conn) => clogged.extend(self.write(conn, Bytes::from_static(push::ALIVE))),
-                Effect::End(conn) => _ = self.conns.borrow_mut().remove(&conn),
+                Effect::End(conn) => {
+                    self.conns.borrow_mut().remove(&conn);
+                    self.channel.iter().for_each(|server| server.end(conn));
+                }
                 Effect::Watch { number, since } => self.watch(number, since),
                 Effect::Unwatch(number) => self.watches.remove(&number).iter().for_each(AbortHandle::abort),
                 Effect::Discovery(address) => self.discovery = address,
@@ -206,6 +326,38 @@
         clogged
     }
 
+    /// What the turn ordered goes out on the channel, if there is one.
+    fn publish(&self, now: oatpitch::interface::Time, roster: u64) {
+        self.channel.iter().for_each(|server| server.close(now, roster));
+    }
+
+    /// The operator's files are read anew: what can be taken over is, and the rest is told. Where they can't be
+    /// read, all stays as it is.
+    fn renew(&self, operator: &mut Operator, files: &[PathBuf]) -> Vec<String> {
+        let renewed = match settled(files) {
+            Ok(settled) => settled.operator,
+            Err(trouble) => return vec![format!("operator's file not taken over: {trouble:#}")],
+        };
+        let fixed = operator.fixed(&renewed);
+        let mut told: Vec<String> = fixed
+            .iter()
+            .map(|key| format!("operator's file: {key} has changed, which takes a new start"))
+            .collect();
+        if let (Some(server), Some(old), Some(new)) = (&self.channel, &mut operator.channel, &renewed.channel)
+            && channel::limits(old) != channel::limits(new)
+        {
+            server.renew(channel::limits(new));
+            *old = Channel {
+                listen: old.listen,
+                lineage: old.lineage.clone(),
+                subscribers: old.subscribers,
+                ..new.clone()
+            };
+            told.push("operator's file: the channel's limits are taken over".into());
+        }
+        told
+    }
+
     /// What is to be told of a connection whose outbox is full.
     fn write(&self, conn: ConnId, message: Bytes) -> Option<Input> {
         let written = self.conns.borrow().get(&conn).is_none_or(|conn| conn.outbox.write(message));
@@ -256,8 +408,13 @@
 }
 
 /// Takes connections as they come, while there is a place for more; one is free again once its socket is.
-async fn accept(listener: TcpListener, reader: Reader, conns: Conns, places: Rc<Semaphore>) {
-    let next = Cell::new(0);
+async fn accept(
+    listener: TcpListener,
+    reader: Reader,
+    conns: Conns,
+    places: Rc<Semaphore>,
+    next: Rc<Cell<u64>>,
+) {
     loop {
         if places.available_permits() == 0 {
             // The reducer makes room among strangers; who waits in the queue is not to wait for more than that.
--- a/crates/conductor/src/wire/mod.rs
+++ b/crates/conductor/src/wire/mod.rs
@@ -3,7 +3,6 @@
 
 use oatpitch::interface::Time;
 
-pub mod frame;
 pub mod heard;
 pub mod limits;
 pub mod peers;
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -12,13 +12,13 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oatpitch::interface::Standing;
+use oatpitch_frame::Lines;
 use oatpitch_memory::heard::{Entry, News};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 use tower::{Service, ServiceExt, service_fn};
 
-use super::frame::Lines;
 use super::{from_ms, limits};
 
 /// Entries as they stand in it: each is read by itself.
@@ -126,7 +126,7 @@
     while let Some(frame) = quiet_for(limits::ROSTER_SILENCE, body.frame()).await? {
         let Ok(data) = frame.context("the watch broke")?.into_data() else { continue };
         lines.room().extend_from_slice(&data);
-        while let Some(line) = lines.next().map_err(|_| anyhow!("a line over the longest"))? {
+        while let Some(line) = lines.cut().map_err(|_| anyhow!("a line over the longest"))? {
             if !line.trim_ascii().is_empty() {
                 heard(decode(&line, zones)?).await;
             }
--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use oatpitch_frame::Lines;
 use oatpitch_memory::heard::Unusable;
 use oatpitch_memory::{ConnId, Ending, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,7 +18,6 @@
 use tokio::sync::mpsc;
 use tower::Service;
 
-use super::frame::Lines;
 use super::heard::{self, Terms, opens_object};
 use super::limits;
 
@@ -95,7 +95,7 @@
                 Err(_) => return Ending::Broken,
             }
             loop {
-                let said = match lines.next() {
+                let said = match lines.cut() {
                     Ok(None) => break,
                     Ok(Some(line)) => heard::decode(&line, &self.terms),
                     Err(_) => Err(Unusable::TooLong),
--- a/crates/conductor/src/wire/frame.rs
+++ b/crates/frame/src/lib.rs
@@ -31,12 +31,12 @@
         self.kept.capacity()
     }
 
-    /// What has come of a line that has not ended, once [`Lines::next`] has none.
+    /// What has come of a line that has not ended, once [`Lines::cut`] has none.
     pub fn rest(&self) -> &[u8] {
         &self.kept
     }
 
-    pub fn next(&mut self) -> Result<Option<Bytes>, TooLong> {
+    pub fn cut(&mut self) -> Result<Option<Bytes>, TooLong> {
         let end = self.kept[self.searched..].iter().position(|byte| *byte == b'\n');
         let Some(end) = end.map(|end| self.searched + end) else {
             self.searched = self.kept.len();
@@ -61,7 +61,7 @@
         let mut found = Vec::new();
         for piece in pieces {
             framing.room().extend_from_slice(piece);
-            while let Some(line) = framing.next()? {
+            while let Some(line) = framing.cut()? {
                 found.push(line);
             }
         }
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -60,6 +60,8 @@
     /// The configuration was read anew: where discovery is now, and the keys that only a new start takes
     /// over; or what is wrong with it.
     Renewed(Result<(SocketAddr, Vec<&'static str>), String>),
+    /// What the host took over or could not, for the log.
+    Noted(Vec<String>),
     /// The watch of this number was answered.
     Watching(u64),
     /// News of the watch of this number, or of a fetch.
--- a/crates/memory/src/reducer.rs
+++ b/crates/memory/src/reducer.rs
@@ -128,6 +128,7 @@
             Input::Spoilt(conn, cause) => self.unusable(conn, "messages spoilt", &cause.to_string()),
             Input::Ended(conn, ending) => self.ended(conn, ending),
             Input::Renewed(renewal) => self.renewed(renewal),
+            Input::Noted(lines) => lines.into_iter().for_each(|line| self.complain(line)),
             Input::Watching(number) => self.watching(number),
             Input::News(number, news) => self.news(number, news),
             Input::NewsEnded(number, cause) => self.news_ended(number, &cause),
@@ -150,6 +151,11 @@
         }
     }
 
+    /// The version of the list that all that was ordered so far stands for in full.
+    pub fn settled(&self) -> u64 {
+        self.settled
+    }
+
     /// How many nodes have a name here.
     #[cfg(test)]
     pub fn known(&self) -> usize {
