--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -504,6 +504,8 @@
             let whole = parts.iter().any(|part| part.whole);
             must!(self.counters, whole, "a feed begins with a whole table");
             feed.table.apply(&parts, &self.names);
+            // Its first follower may have been told of some before it was bound.
+            feed.table.out.extend(message.shut.iter().cloned());
             feed.mark = mark.map(|mark| (feed.revision, mark));
         }
         let mut stay = false;
@@ -525,6 +527,7 @@
         let touched = self.touched.entry(id).or_default();
         (touched.roster, touched.revision) = (message.roster, message.revision);
         touched.mark = touched.mark.or(mark);
+        touched.out.extend(message.shut.iter().cloned());
         for part in &parts {
             touched.out.extend(part.out.iter().cloned());
             touched.back.extend(part.back.iter().cloned());
@@ -552,7 +555,7 @@
             let Some(feed) = self.feeds.get_mut(&id) else { continue };
             let base = feed.revision;
             let mut parts = touched.parts;
-            // A line that is laid lets its node in again, whoever was told of it before.
+            // A line that is laid lets its node in again, whoever was told of it before, unless it stands shut out.
             let laid = parts.iter().filter(|part| !part.whole).flat_map(|part| &part.lines);
             let laid = laid.filter(|(node, weight)| *weight > 0.0 && feed.table.out.contains(node));
             let mut back: BTreeSet<Name> = laid.map(|(node, _)| node.clone()).collect();
--- a/crates/channel/src/core/subscriber.rs
+++ b/crates/channel/src/core/subscriber.rs
@@ -272,11 +272,10 @@
     pub fn hear(&mut self, now: Time, session: Session, heard: Heard) -> Vec<Act> {
         self.now = self.now.max(now);
         let mut acts = Vec::new();
-        if heard != Heard::Tick && session != self.session {
-            self.counters.add("lines of earlier streams", 1);
-            return acts;
-        }
         match heard {
+            Heard::Tick => {}
+            // Time passes all the same.
+            _ if session != self.session => self.counters.add("lines of earlier streams", 1),
             Heard::Line(line) => {
                 self.heard = self.now;
                 if let Err(cause) = self.line(line, &mut acts) {
@@ -293,7 +292,6 @@
                     self.lose(&cause, &mut acts);
                 }
             }
-            Heard::Tick => {}
         }
         self.pass(&mut acts);
         self.settle(&mut acts);
--- a/crates/channel/src/core/table.rs
+++ b/crates/channel/src/core/table.rs
@@ -83,7 +83,7 @@
         levels
     }
 
-    /// What leads to it from nothing. Nodes shut out that no table names are left out.
+    /// What leads to it from nothing.
     pub fn whole(&self) -> Vec<Part> {
         let sheets = self.sheets();
         let all = |classes: &[Name]| if sheets.len() == 1 { Vec::new() } else { classes.to_vec() };
@@ -97,10 +97,12 @@
             let level = |(level, classes)| Part { classes, level: Some(level), ..Part::default() };
             parts.extend(levels.into_iter().map(level));
         }
-        let named = |node: &&Name| sheets.iter().any(|(_, lines)| lines.contains_key(*node));
-        let out: Vec<Name> = self.out.iter().filter(named).cloned().collect();
-        if !out.is_empty() {
-            parts.push(Part { out, ..Part::default() });
+        // Those that no table names now, too: whoever takes this must know what later changes build on.
+        let out: Vec<Name> = self.out.iter().cloned().collect();
+        match parts.first_mut() {
+            Some(first) => first.out = out,
+            None if out.is_empty() => {}
+            None => parts.push(Part { out, ..Part::default() }),
         }
         parts
     }
--- a/crates/memory/src/message.rs
+++ b/crates/memory/src/message.rs
@@ -44,6 +44,8 @@
     pub roster: u64,
     pub binding: Binding,
     pub parts: Vec<Part>,
+    /// Nodes with a line here that stand shut out, told so now or before.
+    pub shut: Vec<Name>,
 }
 
 impl Message {
--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -204,7 +204,9 @@
             let named = |nodes: Vec<NodeId>| nodes.into_iter().filter_map(|id| names.name(id).cloned());
             let (out, back): (Vec<Name>, Vec<Name>) = (named(out).collect(), named(back).collect());
             let key = (binding.clone(), bound);
-            let mut parts = shapes.get(&key).map(|shape| shape.parts.clone()).unwrap_or_default();
+            let shape = shapes.get(&key);
+            let mut parts = shape.map(|shape| shape.parts.clone()).unwrap_or_default();
+            let shut = shape.map_or_else(Vec::new, |shape| named(shape.withdrawn.clone()).collect());
             if parts.is_empty() {
                 parts.push(Part::default());
             }
@@ -212,7 +214,7 @@
             let mark = turn.mark.map(|(mark, _)| mark);
             parts.iter_mut().next_back().into_iter().for_each(|part| part.mark = mark);
             let (message, count) =
-                (Message { revision: self.revision, roster, binding, parts }, conns.len() as u64);
+                (Message { revision: self.revision, roster, binding, parts, shut }, conns.len() as u64);
             counters.add("messages to proxies", count);
             let sum = |figure: fn(&Part) -> usize| {
                 message.parts.iter().map(|part| figure(part) as u64 * count).sum()
