--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -105,6 +105,10 @@
     mark: Option<(Revision, u16)>,
     /// The snapshot of a revision and version of the list, encoded when first asked for.
     snapshot: Option<(Revision, u64, Bytes, usize)>,
+    /// What goes ahead of what waits, from one revision to another; and a beat of the head. Thousands that
+    /// stopped reading at the same time hold these once.
+    ahead: Option<(Revision, Revision, Option<Bytes>)>,
+    beat: Option<(Revision, u64, bool, Bytes)>,
     followers: usize,
 }
 
@@ -430,6 +434,8 @@
             written: 0,
             mark: None,
             snapshot: None,
+            ahead: None,
+            beat: None,
             followers: 0,
         }
     }
@@ -445,6 +451,31 @@
         self.log.range(from..)
     }
 
+    /// Nodes shut out from one revision to another and still so, to go ahead of what waits.
+    fn ahead(
+        &mut self,
+        (from, to): (Revision, Revision),
+        epoch: &Epoch,
+        codec: &impl Codec,
+    ) -> Option<Bytes> {
+        if let Some((_, _, bytes)) =
+            self.ahead.as_ref().filter(|(known, head, _)| (*known, *head) == (from, to))
+        {
+            return bytes.clone();
+        }
+        // Where the history does not reach back, any may be news.
+        let news: BTreeSet<&Name> = match self.covers(from) {
+            true => self.after(from).flat_map(|kept| kept.out.iter()).collect(),
+            false => self.table.out.iter().collect(),
+        };
+        let out: Vec<Name> =
+            news.into_iter().filter(|node| self.table.out.contains(*node)).cloned().collect();
+        let withdrawal = |out| Line::Withdrawal(Withdrawal { epoch: epoch.clone(), revision: to, out });
+        let bytes = (!out.is_empty()).then(|| codec.encode(&withdrawal(out)));
+        self.ahead = Some((from, to, bytes.clone()));
+        bytes
+    }
+
     fn keep(&mut self, kept: Kept, limits: &Limits) {
         self.written += kept.cost;
         self.log_bytes += kept.bytes.len();
@@ -739,19 +770,11 @@
             // Withdrawals go ahead of all that waits.
             let behind = follower.at.is_none_or(|at| feed.after(at).nth(1).is_some());
             if behind && follower.warned < feed.revision && follower.warned > Revision::default() {
-                // Where the history does not reach back, any may be news to it.
-                let news: BTreeSet<&Name> = match feed.covers(follower.warned) {
-                    true => feed.after(follower.warned).flat_map(|kept| kept.out.iter()).collect(),
-                    false => feed.table.out.iter().collect(),
-                };
-                let out = news.into_iter().filter(|node| feed.table.out.contains(*node)).cloned();
-                let out: Vec<Name> = out.collect();
+                let span = (follower.warned, feed.revision);
                 follower.warned = feed.revision;
-                if !out.is_empty() {
-                    let (epoch, revision) = (self.epoch.clone(), feed.revision);
+                if let Some(bytes) = feed.ahead(span, &self.epoch, &self.codec) {
                     self.counters.add("withdrawals ahead", 1);
-                    let withdrawal = Withdrawal { epoch, revision, out };
-                    return Next::Send(self.codec.encode(&Line::Withdrawal(withdrawal)));
+                    return Next::Send(bytes);
                 }
             }
             match follower.at {
@@ -801,10 +824,21 @@
         }
         if follower.owed || now >= follower.beaten + self.limits.beat {
             (follower.owed, follower.beaten) = (false, now);
-            let at = follower.feed.zip(follower.at);
             // Before it has caught up a beat only tells that the sender lives.
-            let beat = Beat { epoch: self.epoch.clone(), at, roster: self.roster, live: self.live };
-            return Next::Send(self.codec.encode(&Line::Beat(beat)));
+            let beat = |at| Beat { epoch: self.epoch.clone(), at, roster: self.roster, live: self.live };
+            let (at, feed) = (follower.at, follower.feed.and_then(|id| Some((id, self.feeds.get_mut(&id)?))));
+            let Some((id, feed)) = feed.filter(|(_, feed)| at == Some(feed.revision)) else {
+                let at = follower.feed.zip(at);
+                return Next::Send(self.codec.encode(&Line::Beat(beat(at))));
+            };
+            let known = feed.beat.as_ref().filter(|(revision, roster, live, _)| {
+                (*revision, *roster, *live) == (feed.revision, self.roster, self.live)
+            });
+            let bytes = known.map(|(.., bytes)| bytes.clone());
+            let bytes =
+                bytes.unwrap_or_else(|| self.codec.encode(&Line::Beat(beat(Some((id, feed.revision))))));
+            feed.beat = Some((feed.revision, self.roster, self.live, bytes.clone()));
+            return Next::Send(bytes);
         }
         Next::Wait
     }
--- a/crates/channel/src/net/server.rs
+++ b/crates/channel/src/net/server.rs
@@ -474,11 +474,8 @@
         }
         let known = Rc::new(Cell::new(false));
         let front = Front { server: server.clone(), peer, known: known.clone() };
-        let counted = Counted::of(&open);
-        let task = spawn_local(async move {
-            let _counted = counted;
-            converse(front, socket).await;
-        });
+        let task =
+            spawn_local(Conversation { served: converse(front, socket), _counted: Counted::of(&open) });
         strangers.push_back((task.abort_handle(), known));
     }
 }
@@ -499,15 +496,30 @@
     }
 }
 
-async fn converse(front: Front, socket: TcpStream) {
+type Served = http1::Connection<TokioIo<TcpStream>, TowerToHyperService<Front>>;
+
+fn converse(front: Front, socket: TcpStream) -> Served {
     // A connection already broken tells so when it is read.
     let _ = socket.set_nodelay(true);
-    let served = http1::Builder::new()
+    http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_LONGEST)
         .max_buf_size(BUFFER)
         .serve_connection(TokioIo::new(socket), TowerToHyperService::new(front))
-        .await;
-    // Whoever breaks off has nobody to be told.
-    drop(served);
+}
+
+/// One connection until its end: a value of its own, as what is awaited in a block would be held twice, for
+/// each of thousands.
+struct Conversation {
+    served: Served,
+    _counted: Counted,
+}
+
+impl Future for Conversation {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        // Whoever breaks off has nobody to be told.
+        Pin::new(&mut self.served).poll(context).map(drop)
+    }
 }
--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -18,6 +18,9 @@
     levels: BTreeMap<ClassId, Level>,
 }
 
+/// Nodes that a proxy was told on its stream to shut out, or to let back; shared by all that were told the same.
+type Told = Rc<BTreeMap<NodeId, bool>>;
+
 /// A joined proxy: what it was bound to and told on its stream.
 #[derive(Debug)]
 pub struct Stream {
@@ -25,10 +28,9 @@
     bound: Binding,
     /// Nothing that another conductor told it lasts beyond its first whole table here.
     anew: bool,
-    /// Nodes it was told on this stream to shut out, or to let back.
-    told: BTreeMap<NodeId, bool>,
-    /// Nodes withdrawn or let back in this turn, since it joined.
-    news: BTreeSet<NodeId>,
+    told: Told,
+    /// Which of the nodes withdrawn or let back in this turn were so since it joined: those from here on.
+    since: usize,
     /// Marks not answered yet, and when they were ordered.
     marks: BTreeMap<u16, Time>,
 }
@@ -39,10 +41,11 @@
     lines: BTreeMap<TableId, BTreeSet<NodeId>>,
     levels: BTreeMap<TableId, BTreeSet<ClassId>>,
     cleared: BTreeSet<TableId>,
-    withdrew: bool,
     common: BTreeSet<ClassId>,
     bound: BTreeMap<ProxyId, BTreeSet<ClassId>>,
     mark: Option<(u16, bool)>,
+    /// Nodes withdrawn or let back, in order.
+    news: Vec<NodeId>,
 }
 
 /// What a turn says to all proxies of one binding that were, or were not, bound in it: the parts, the nodes
@@ -54,11 +57,27 @@
     doubtful: Vec<NodeId>,
 }
 
+/// All that decides what a turn says to a stream: its binding, the classes bound in the turn, what it was told
+/// by the address of that, whether it came with nothing, and from where on the turn's withdrawals concern it.
+type Alike<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, usize, bool, usize);
+
+/// What a turn says to streams that are alike, beyond the parts that they share with others.
+struct Verdict {
+    /// The place of their message among all.
+    group: usize,
+    /// What they were told before, kept so that its address stays its own, and after.
+    before: Told,
+    after: Told,
+    concerned: bool,
+}
+
 #[derive(Debug, Default)]
 pub struct Ordered {
     classes: u16,
     /// Every binding in use, once.
     bindings: BTreeSet<Binding>,
+    /// What streams that just joined were told: nothing.
+    untold: Told,
     /// Of the last turn that ordered anything.
     revision: u64,
     tables: BTreeMap<TableId, Table>,
@@ -87,8 +106,8 @@
 
     pub fn join(&mut self, proxy: ProxyId, conn: ConnId, anew: bool) {
         let bound = self.binding(vec![None; self.classes.into()]);
-        let (told, news, marks) = Default::default();
-        let stream = Stream { conn, bound, anew, told, news, marks };
+        let (told, since, marks) = (self.untold.clone(), self.turn.news.len(), BTreeMap::new());
+        let stream = Stream { conn, bound, anew, told, since, marks };
         self.streams.insert(proxy, stream);
         self.turn.bound.remove(&proxy);
     }
@@ -118,7 +137,16 @@
         for node in &forgotten {
             self.withdrawn.remove(node);
             self.doubtful.remove(node);
-            self.streams.values_mut().for_each(|stream| _ = stream.told.remove(node));
+        }
+        let mut shared: BTreeMap<usize, (Told, Told)> = BTreeMap::new();
+        let known = |stream: &&mut Stream| forgotten.iter().any(|node| stream.told.contains_key(node));
+        for stream in self.streams.values_mut().filter(known) {
+            let (_, after) = shared.entry(Rc::as_ptr(&stream.told) as usize).or_insert_with(|| {
+                let mut after = (*stream.told).clone();
+                forgotten.iter().for_each(|node| _ = after.remove(node));
+                (stream.told.clone(), Rc::new(after))
+            });
+            stream.told = after.clone();
         }
         forgotten
     }
@@ -173,20 +201,32 @@
         let mut streams = std::mem::take(&mut self.streams);
         let mut shapes: BTreeMap<(Binding, Option<&BTreeSet<ClassId>>), Shape> = BTreeMap::new();
         type Group<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, Vec<NodeId>, Vec<NodeId>);
-        let mut groups: BTreeMap<Group, Vec<ConnId>> = BTreeMap::new();
+        let mut groups: BTreeMap<Group, usize> = BTreeMap::new();
+        let mut conns: Vec<Vec<ConnId>> = Vec::new();
+        let mut verdicts: BTreeMap<Alike, Verdict> = BTreeMap::new();
         for (proxy, stream) in &mut streams {
             let key = (stream.bound.clone(), turn.bound.get(proxy));
             let shape = shapes
                 .entry(key)
                 .or_insert_with_key(|(binding, bound)| self.shape(&turn, binding, *bound, names, counters));
-            let (out, back) = self.shut(stream, shape);
-            let shuts =
-                [&out, &back].into_iter().any(|nodes| nodes.iter().any(|id| names.name(*id).is_some()));
-            let concerned = !shape.parts.is_empty() || shuts;
-            let Some((mark, _)) = turn.mark.filter(|(_, everyone)| *everyone || concerned) else {
-                if concerned {
-                    let group = (stream.bound.clone(), turn.bound.get(proxy), out, back);
-                    groups.entry(group).or_default().push(stream.conn);
+            let (told, since) = (Rc::as_ptr(&stream.told) as usize, std::mem::take(&mut stream.since));
+            let alike = (stream.bound.clone(), turn.bound.get(proxy), told, stream.anew, since);
+            let verdict = verdicts.entry(alike).or_insert_with(|| {
+                let news = turn.news.get(since..).unwrap_or_default();
+                let (out, back, after) = self.shut(stream, news, shape);
+                let shuts = [&out, &back].into_iter().flatten().any(|id| names.name(*id).is_some());
+                let concerned = !shape.parts.is_empty() || shuts;
+                let group = (stream.bound.clone(), turn.bound.get(proxy), out, back);
+                let next = groups.len();
+                let group = *groups.entry(group).or_insert(next);
+                conns.resize(groups.len(), Vec::new());
+                Verdict { group, before: stream.told.clone(), after, concerned }
+            });
+            debug_assert_eq!(stream.told, verdict.before);
+            stream.told = verdict.after.clone();
+            let Some((mark, _)) = turn.mark.filter(|(_, everyone)| *everyone || verdict.concerned) else {
+                if verdict.concerned {
+                    conns[verdict.group].push(stream.conn);
                 }
                 continue;
             };
@@ -196,11 +236,12 @@
             }
             stream.marks.insert(mark, now);
             counters.add("marks ordered", 1);
-            let group = (stream.bound.clone(), turn.bound.get(proxy), out, back);
-            groups.entry(group).or_default().push(stream.conn);
+            conns[verdict.group].push(stream.conn);
         }
         self.streams = streams;
-        let messages = groups.into_iter().map(|((binding, bound, out, back), conns)| {
+        let told = groups.into_iter().map(|(group, place)| (group, std::mem::take(&mut conns[place])));
+        let told: Vec<_> = told.filter(|(_, conns)| !conns.is_empty()).collect();
+        let messages = told.into_iter().map(|((binding, bound, out, back), conns)| {
             let named = |nodes: Vec<NodeId>| nodes.into_iter().filter_map(|id| names.name(id).cloned());
             let (out, back): (Vec<Name>, Vec<Name>) = (named(out).collect(), named(back).collect());
             let key = (binding.clone(), bound);
@@ -306,19 +347,18 @@
 
     /// Nodes that a proxy must be told to shut out or to let back: those it was told of otherwise on this
     /// stream, and those with a line in this message that it may have been told to shut out on an earlier.
-    fn shut(&self, stream: &mut Stream, shape: &Shape) -> (Vec<NodeId>, Vec<NodeId>) {
+    fn shut(&self, stream: &Stream, news: &[NodeId], shape: &Shape) -> (Vec<NodeId>, Vec<NodeId>, Told) {
         let unbound = stream.bound.iter().any(Option::is_none);
         let tables: BTreeSet<TableId> = stream.bound.iter().flatten().copied().collect();
         let holds = |node: &NodeId| {
             unbound || tables.iter().filter_map(|id| self.tables.get(id)).any(|t| t.lines.contains_key(node))
         };
         let doubtful: &[NodeId] = if stream.anew { &[] } else { &shape.doubtful };
-        let mut concerned: BTreeSet<NodeId> =
-            std::mem::take(&mut stream.news).into_iter().filter(holds).collect();
+        let mut concerned: BTreeSet<NodeId> = news.iter().copied().filter(holds).collect();
         // Of the nodes shown, only these can differ from what the proxy holds.
         concerned.extend(shape.withdrawn.iter().chain(doubtful));
         concerned.extend(stream.told.keys().filter(|node| shape.shown.contains(node)));
-        let (mut out, mut back) = (Vec::new(), Vec::new());
+        let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.told.clone());
         for node in concerned {
             let (shut, told) = (self.withdrawn.contains(&node), stream.told.get(&node).copied());
             // A proxy keeps what another conductor told it over a change of streams.
@@ -326,10 +366,10 @@
             if shut == told.unwrap_or(doubted) {
                 continue;
             }
-            stream.told.insert(node, shut);
+            Rc::make_mut(&mut after).insert(node, shut);
             if shut { &mut out } else { &mut back }.push(node);
         }
-        (out, back)
+        (out, back, after)
     }
 }
 
@@ -357,8 +397,7 @@
 
     fn withdraw(&mut self, node: NodeId, out: bool) {
         let _ = if out { self.withdrawn.insert(node) } else { self.withdrawn.remove(&node) };
-        self.turn.withdrew = true;
-        self.streams.values_mut().for_each(|stream| _ = stream.news.insert(node));
+        self.turn.news.push(node);
     }
 
     fn forget(&mut self, node: NodeId) {
