--- a/crates/channel/src/core/tests.rs
+++ b/crates/channel/src/core/tests.rs
@@ -1028,29 +1028,15 @@
         (r#"{"kind":"welcome","v":2}"#, Refusal::Version(2)),
         (r#"{"kind":"beat","epoch":"n1-1","live":true}"#, Refusal::Field("roster")),
         (r#"{"kind":"beat","epoch":"n1","roster":1,"live":true}"#, Refusal::Field("epoch")),
-        (
-            r#"{"kind":"change","epoch":"n1-1","feed":1,"base":4,"revision":4,"roster":1,"part":1,"of":1}"#,
-            Refusal::Field("base"),
-        ),
-        (
-            r#"{"kind":"change","epoch":"n1-1","feed":1,"revision":4,"roster":1,"part":1,"of":1}"#,
-            Refusal::Field("base"),
-        ),
-        (
-            r#"{"kind":"snapshot","epoch":"n1-1","feed":1,"revision":4,"roster":1,"part":2,"of":1}"#,
-            Refusal::Field("part"),
-        ),
-        (
-            r#"{"kind":"snapshot","epoch":"n1-1","feed":1,"revision":4,"roster":1,"part":1,"of":1,"lines":[["s",-1]]}"#,
-            Refusal::Field("lines"),
-        ),
-        (
-            r#"{"kind":"snapshot","epoch":"n1-1","feed":1,"revision":4,"roster":1,"part":1,"of":1,"lines":[["s","1"]]}"#,
-            Refusal::Field("of another type"),
-        ),
+        (r#"{"kind":"change",AT,"base":4,"part":1,"of":1}"#, Refusal::Field("base")),
+        (r#"{"kind":"change",AT,"part":1,"of":1}"#, Refusal::Field("base")),
+        (r#"{"kind":"snapshot",AT,"part":2,"of":1}"#, Refusal::Field("part")),
+        (r#"{"kind":"snapshot",AT,"part":1,"of":1,"lines":[["s",-1]]}"#, Refusal::Field("lines")),
+        (r#"{"kind":"snapshot",AT,"part":1,"of":1,"lines":[["s","1"]]}"#, Refusal::Field("of another type")),
         (r#"{"kind":"withdraw","epoch":"n1-1","revision":1,"out":[""]}"#, Refusal::Field("out")),
         (r#"{"kind":"end"}"#, Refusal::Field("why")),
     ] {
+        let line = line.replace("AT", r#""epoch":"n1-1","feed":1,"revision":4,"roster":1"#);
         assert_eq!(Json.decode(line.as_bytes()), Err(refusal), "{line:.80}");
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -152,7 +152,17 @@
             .map_err(|slip| Problem { at: start, key: String::new(), what: slip.to_string(), expected: None })
     });
     match typed {
-        Some(Ok(settled)) => return Ok(settled),
+        Some(Ok(settled)) => {
+            let odds = settled.operator.odds();
+            if odds.is_empty() {
+                return Ok(settled);
+            }
+            let problem = |(key, what, expected): (String, String, String)| {
+                let at = place(&held, &key).unwrap_or(start);
+                Problem { at, key, what, expected: Some(expected) }
+            };
+            problems.extend(odds.into_iter().map(problem));
+        }
         Some(Err(slip)) => problems.push(slip),
         None => {}
     }
@@ -161,6 +171,16 @@
     Err(Trouble(problems.into_iter().map(|problem| told(&files, problem)).collect()))
 }
 
+/// Where the value of a key was last stated.
+fn place(held: &Held, key: &str) -> Option<Place> {
+    key.split('.')
+        .try_fold(held, |held, name| match &held.value {
+            Value::Record(record) => record.fields.get(name).map(|field| &field.held),
+            _ => None,
+        })
+        .map(|held| held.at)
+}
+
 fn told(files: &SimpleFiles<String, String>, problem: Problem) -> Told {
     let Problem { at, key, what, expected } = problem;
     let place = files.location(at.text, at.from);
--- a/crates/operator/src/records/channel.rs
+++ b/crates/operator/src/records/channel.rs
@@ -5,6 +5,8 @@
 use oatpitch::interface::Time;
 use serde::Deserialize;
 
+use crate::core::value::Scalar;
+
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Channel {
@@ -56,6 +58,17 @@
     pub hold: Hold,
 }
 
+/// Keys whose values don't go together, each with what is wrong and what is expected.
+pub fn odds(record: &Channel, key: &str) -> Option<(String, String, String)> {
+    let most = Time(record.silent.0 / BEATS_LEAST);
+    let what = format!("is too seldom, as a stream is given up after {}", Scalar::Time(record.silent.0));
+    let expected = format!("at most {}, {BEATS_LEAST} in that time", Scalar::Time(most.0));
+    (record.beat > most).then(|| (format!("{key}.beat"), what, expected))
+}
+
+/// Signs of life in the time after which one is given up: one that comes late must not end it.
+const BEATS_LEAST: u64 = 2;
+
 /// Keys that only a new start takes over: what is bound, and what sizes what is there.
 pub fn fixed(one: Option<&Channel>, two: Option<&Channel>) -> Vec<String> {
     match (one, two) {
--- a/crates/operator/src/records/mod.rs
+++ b/crates/operator/src/records/mod.rs
@@ -22,6 +22,13 @@
 }
 
 impl Operator {
+    /// Keys whose values don't go together, each with what is wrong and what is expected.
+    pub fn odds(&self) -> Vec<(String, String, String)> {
+        let own = self.channel.iter().filter_map(|record| channel::odds(record, "channel"));
+        let relay = self.relay.iter().filter_map(|record| channel::odds(&record.publish, "relay.publish"));
+        own.chain(relay).collect()
+    }
+
     /// Keys in which another file differs that only a new start takes over.
     pub fn fixed(&self, other: &Operator) -> Vec<String> {
         channel::fixed(self.channel.as_ref(), other.channel.as_ref())
--- a/crates/operator/tests/records.rs
+++ b/crates/operator/tests/records.rs
@@ -126,6 +126,18 @@
     assert!(told.iter().any(|told| told.3 == "relay.origins[1]"), "{told:?}");
 }
 
+/// Guards against settings that are sound one by one and end every stream.
+#[test]
+fn values_that_do_not_go_together_are_told() {
+    let told = wrong(&["channel: {\n  listen: \"127.0.0.1:1\"\n  beat: 2s\n}"]);
+    assert_eq!((told.len(), told[0].1, told[0].2, told[0].3.as_str()), (1, 3, 9, "channel.beat"));
+    assert!(
+        told[0].4.contains("given up after 3s; at most 1.5s") || told[0].4.contains("at most 1500ms"),
+        "{}",
+        told[0].4
+    );
+}
+
 #[test]
 fn files_that_cannot_be_read_are_told_by_name() {
     let Err(Trouble(told)) = read(&["/nowhere/at/all.cue".into()]) else { panic!("no such file") };
