Hooks: scripts that shape routing within bounds, their guards, limits and life

Some clients are priced differently, and colleagues of the operators want to shape routing without rebuilding the conductor.

Change: crates/hooks with a core that decides (views, guards, order, probation, breaker), an engine for one script within limits (rhai), a set of all hooks, and a thread beside the turns. The module shows itself (src/balance/look.rs) and weighs advice where weights, levels, tries and parts are chosen, never beyond its own. Records in the operator's file, oatpitch hooks check, run and sample, three examples.

--- a/crates/conductor/src/run/command.rs
+++ b/crates/conductor/src/run/command.rs
@@ -61,7 +61,37 @@
         #[arg(long, value_name = "TABLES")]
         count: Option<u64>,
     },
+    /// Checks and tries hooks' scripts, without a conductor.
+    #[command(after_help = CODES)]
+    Hooks {
+        #[command(subcommand)]
+        command: Hooks,
+    },
     /// Follows one conductor's snapshot channel and publishes it to many, as `relay` of the operator's file says.
     #[command(after_help = CODES)]
     Relay,
 }
+
+#[derive(Debug, Subcommand)]
+pub enum Hooks {
+    /// Loads a script, checks it and the settings, and tries every point that it has.
+    Check {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// A setting that the script declares; several times for several.
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        settings: Vec<String>,
+    },
+    /// Prints what a script makes of a view: input, what is settled, and what the guards cut.
+    Run {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        settings: Vec<String>,
+        /// A recorded view as JSON; the one of `sample` where none is given.
+        #[arg(long, value_name = "RECORDED")]
+        input: Option<PathBuf>,
+    },
+    /// Prints the view that scripts are tried on.
+    Sample,
+}
--- /dev/null
+++ b/crates/conductor/src/run/hooks.rs
@@ -0,0 +1,285 @@
+//! Hooks at a conductor: a view goes to their thread once a round, and what they settle comes back as an input.
+//! And the sub-commands by which scripts are checked and tried without a conductor.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use oatpitch::interface::{Advice, Mandate, Time};
+use oatpitch_hooks::core::answer::Point;
+use oatpitch_hooks::core::guard::Bounds;
+use oatpitch_hooks::core::standing::Terms;
+use oatpitch_hooks::core::view::{View, Words};
+use oatpitch_hooks::engine::{Limits, Program, Shown};
+use oatpitch_hooks::set::{Named, Report, Set};
+use oatpitch_hooks::worker::{Ask, Told, Worker};
+use oatpitch_memory::Input;
+use oatpitch_memory::reducer::Memory;
+use oatpitch_operator::records::hooks::{Hook, Hooks as Record};
+use tokio::sync::mpsc;
+
+/// What the thread says that may wait; it waits beyond that.
+const TOLD_MOST: usize = 16;
+
+pub struct Hooks {
+    worker: Worker,
+    told: mpsc::Receiver<Told>,
+    record: Record,
+    mandate: Mandate,
+    words: Words,
+    /// When the next round is due, and when the last was answered.
+    due: Time,
+    answered: Time,
+    /// What stands, and the view that it came of.
+    advice: Advice,
+    view: View,
+    /// Rounds that were due while hooks were still at an earlier one.
+    pub skipped: u64,
+}
+
+fn bounds(record: &Record) -> Bounds {
+    let Record { least, most, let_in, lines, stand, .. } = *record;
+    Bounds { least, most, let_in, lines, hold: stand }
+}
+
+fn terms(record: &Record) -> Terms {
+    let Record { failures, span, wait, wait_most, good, round, .. } = *record;
+    Terms { failures, span, wait, wait_most, good, round }
+}
+
+fn limits(hook: &Hook) -> Limits {
+    let wall = Duration::from_micros(hook.wall.0.saturating_mul(100));
+    Limits { operations: hook.operations, wall, memory: hook.memory }
+}
+
+/// The scripts as they stand in their files, and those that can't be read, by name.
+fn named(record: &Record, folder: &Path) -> (Vec<Named>, Vec<Report>) {
+    let (mut all, mut unread) = (Vec::new(), Vec::new());
+    for hook in &record.each {
+        let path = folder.join(&hook.script);
+        match std::fs::read_to_string(&path) {
+            Ok(source) => all.push(Named {
+                name: hook.name.clone(),
+                place: path.display().to_string(),
+                source,
+                order: hook.order,
+                limits: limits(hook),
+                settings: hook.settings.clone(),
+            }),
+            Err(trouble) => {
+                let what = format!("{}: {trouble}; not taken", path.display());
+                unread.push(Report { hook: hook.name.clone(), what, bad: true });
+            }
+        }
+    }
+    (all, unread)
+}
+
+fn line(report: &Report) -> String {
+    format!("hook {}: {}", report.hook, report.what)
+}
+
+/// The folder that scripts' paths start from: that of the file that names them.
+pub fn folder(files: &[PathBuf]) -> PathBuf {
+    let variable = std::env::var_os("NODE_OPERATOR").map(PathBuf::from);
+    let file = files.first().cloned().or(variable).unwrap_or_default();
+    file.parent().map(Path::to_path_buf).unwrap_or_default()
+}
+
+impl Hooks {
+    /// Starts the thread and hands it the hooks. What can't be read is told; the rest takes part.
+    pub fn start(record: &Record, folder: &Path, mandate: Mandate, words: Words) -> (Hooks, Vec<String>) {
+        let (tell, told) = mpsc::channel(TOLD_MOST);
+        let worker =
+            Worker::start(bounds(record), terms(record), move |said| tell.blocking_send(said).is_ok());
+        let mut hooks = Hooks {
+            worker,
+            told,
+            record: record.clone(),
+            mandate,
+            words: Words { ahead: record.ahead, ..words },
+            due: Time::default(),
+            answered: Time::default(),
+            advice: Advice::default(),
+            view: View::default(),
+            skipped: 0,
+        };
+        let lines = hooks.renew(record, folder);
+        (hooks, lines)
+    }
+
+    /// Other records, or the same scripts anew.
+    pub fn renew(&mut self, record: &Record, folder: &Path) -> Vec<String> {
+        let (all, unread) = named(record, folder);
+        self.record = record.clone();
+        self.words.ahead = record.ahead;
+        let asked = Ask::Renew(bounds(record), terms(record), all, Box::new(View::sample()));
+        let mut lines: Vec<String> = unread.iter().map(line).collect();
+        if !self.worker.ask(asked) {
+            lines.push("hooks: still at a round, so that they are not taken over; ask again".into());
+        }
+        lines
+    }
+
+    /// Asks for a line for each hook; it comes as what is told.
+    pub fn list(&mut self, now: Time) {
+        if !self.worker.ask(Ask::List(now)) {
+            self.skipped += 1;
+        }
+    }
+
+    pub async fn next(&mut self) -> Option<Told> {
+        self.told.recv().await
+    }
+
+    pub fn due(&self) -> Time {
+        self.due
+    }
+
+    /// Begins a round where one is due. What was said too long ago is dropped.
+    pub fn begin(&mut self, now: Time, memory: &Memory) -> Vec<Input> {
+        if now < self.due {
+            return Vec::new();
+        }
+        self.due = now + self.record.period;
+        if self.answered == Time::default() {
+            self.answered = now;
+        }
+        let (look, names) = memory.look();
+        let view = View::of(&look, &self.mandate, &self.words, &names);
+        if self.worker.ask(Ask::Round(now, Box::new(view.clone()))) {
+            self.view = view;
+        } else {
+            self.skipped += 1;
+        }
+        if now < self.answered + self.record.stale || self.advice == Advice::default() {
+            return Vec::new();
+        }
+        self.advice = Advice::default();
+        let stale = self.record.stale.seconds();
+        let text = format!("hooks: no answer for {stale} s; what they said last is dropped");
+        vec![Input::Advised(Advice::default()), Input::Noted(vec![text])]
+    }
+
+    /// What came back, as inputs and lines for the log at once.
+    pub fn hear(&mut self, now: Time, told: Told, memory: &Memory) -> (Vec<Input>, Vec<String>) {
+        let (settled, reports) = match told {
+            Told::Settled(settled, reports) => (Some(settled), reports),
+            Told::Renewed(reports) => (None, reports),
+            Told::Listed(mut lines) => {
+                lines.push(format!("rounds skipped: {}", self.skipped));
+                return (Vec::new(), lines);
+            }
+        };
+        let mut inputs = Vec::new();
+        if let Some(settled) = settled {
+            self.answered = now;
+            let advice = settled.advice(&self.mandate, &self.view, |name| memory.node(name));
+            if advice != self.advice {
+                self.advice = advice.clone();
+                inputs.push(Input::Advised(advice));
+            }
+        }
+        if !reports.is_empty() {
+            inputs.push(Input::Noted(reports.iter().map(line).collect()));
+        }
+        (inputs, Vec::new())
+    }
+}
+
+// ---- Without a conductor ----
+
+fn load(path: &Path, settings: &[String], limits: Limits) -> Result<(Program, String)> {
+    let source = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let mut set = serde_json::Map::new();
+    for pair in settings {
+        let (key, value) =
+            pair.split_once('=').with_context(|| format!("--set {pair}: KEY=VALUE is meant"))?;
+        // What is no JSON is a text.
+        let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
+        set.insert(key.into(), value);
+    }
+    let settings = serde_json::Value::Object(set);
+    match Program::load(&source, limits, &settings, &Shown(View::sample().into())) {
+        Ok(program) => Ok((program, source)),
+        Err(trouble) => {
+            let place = if trouble.line > 0 {
+                format!(":{}:{}", trouble.line, trouble.column)
+            } else {
+                String::new()
+            };
+            bail!("{}{place}: {}", path.display(), trouble.what)
+        }
+    }
+}
+
+/// Limits as they are where operators say nothing.
+pub fn usual() -> Limits {
+    Limits { operations: 200_000, wall: Duration::from_millis(20), memory: 256 << 10 }
+}
+
+/// Loads, checks and tries a script.
+pub fn check(path: &Path, settings: &[String]) -> Result<()> {
+    let (program, _) = load(path, settings, usual())?;
+    let points: Vec<String> = program.points().iter().map(Point::to_string).collect();
+    println!("{}: sound, at {}", path.display(), points.join(", "));
+    for (name, setting) in program.declared() {
+        let usual = setting.usual.as_ref().map_or("must be set".into(), |usual| format!("default {usual}"));
+        println!("  {name}: {}, {usual}", setting.kind);
+    }
+    Ok(())
+}
+
+/// Prints what a script makes of a recorded view: what goes in, what is settled, and what the guards cut.
+pub fn run(path: &Path, settings: &[String], input: Option<&Path>) -> Result<()> {
+    let (_, source) = load(path, settings, usual())?;
+    let view = match input {
+        Some(input) => {
+            let text = std::fs::read(input).with_context(|| input.display().to_string())?;
+            serde_json::from_slice(&text).with_context(|| input.display().to_string())?
+        }
+        None => View::sample(),
+    };
+    let mut set_to = serde_json::Map::new();
+    for (key, value) in settings.iter().filter_map(|pair| pair.split_once('=')) {
+        set_to.insert(key.into(), serde_json::from_str(value).unwrap_or_else(|_| value.into()));
+    }
+    let name = path.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+    let bounds = Bounds { least: 0.25, most: 2.0, let_in: 0.1, lines: 50, hold: Time::from_ms(2_000) };
+    let terms = Terms {
+        failures: 3,
+        span: Time::from_ms(60_000),
+        wait: Time::from_ms(10_000),
+        wait_most: Time::from_ms(600_000),
+        good: 20,
+        round: Time::from_ms(1_000),
+    };
+    let mut set = Set::new(bounds.clone(), terms.clone());
+    let place = path.display().to_string();
+    let named =
+        Named { name, place, source, order: 0, limits: usual(), settings: serde_json::Value::Object(set_to) };
+    let shown = Shown(view.into());
+    for report in set.renew(bounds, terms, vec![named], &shown) {
+        println!("{}", line(&report));
+    }
+    println!("input: {}", serde_json::to_string(&*shown.0)?);
+    let (settled, reports) = set.round(Time(shown.0.now_ms.saturating_mul(10)), &shown);
+    for report in &reports {
+        println!("{}", line(report));
+    }
+    println!(
+        "shares: {:?}\nlevels by class: {:?}\ntries by class: {:?}",
+        settled.shares, settled.levels, settled.tries
+    );
+    println!("parts by proxy: {:?}", settled.parts);
+    for ((_, point, rule), count) in &set.cuts {
+        println!("cut at {point}, {rule}: {count}");
+    }
+    Ok(())
+}
+
+/// Prints the view that scripts are tried on, to be changed and handed to `run`.
+pub fn sample() -> Result<()> {
+    println!("{}", serde_json::to_string_pretty(&View::sample())?);
+    Ok(())
+}
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -5,6 +5,7 @@
 mod command;
 mod config;
 mod follow;
+mod hooks;
 mod log;
 
 use std::cell::Cell;
@@ -20,6 +21,8 @@
 use clap::Parser;
 use oatpitch_channel::net::client::Identity;
 use oatpitch_channel::net::server::{Event, Server};
+use oatpitch_hooks::core::view::Words;
+use oatpitch_hooks::worker::Told;
 use oatpitch_memory::counters::Counters;
 use oatpitch_memory::reducer::{Memory, Start};
 use oatpitch_memory::{ConnId, Effect, Ending, Grade, Input};
@@ -39,6 +42,7 @@
 use clock::Clock;
 use command::{Command, Line};
 use config::{Occasion, Peers, Posting};
+use hooks::Hooks;
 
 /// A file was checked, and something in it is wrong.
 const WRONG: u8 = 3;
@@ -57,6 +61,7 @@
             let identity = Identity { proxy, zone, rate };
             run(async move { follow::print(&hosts, &identity, &settled.operator.follow.hold, count).await })
         }),
+        Some(Command::Hooks { command }) => return hooks_command(command),
         Some(Command::Relay) => settled(&files)
             .and_then(|settled| run(async move { follow::pass_on(settled.operator.relay.as_ref()).await })),
     };
@@ -81,6 +86,22 @@
     Ok(oatpitch_operator::read(if files.is_empty() { &named } else { files })?)
 }
 
+/// What is wrong with a script is told in one line.
+fn hooks_command(command: command::Hooks) -> ExitCode {
+    let done = match command {
+        command::Hooks::Check { file, settings } => hooks::check(&file, &settings),
+        command::Hooks::Run { file, settings, input } => hooks::run(&file, &settings, input.as_deref()),
+        command::Hooks::Sample => hooks::sample(),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(trouble) => {
+            let _ = writeln!(std::io::stderr(), "oatpitch: {trouble:#}");
+            ExitCode::from(WRONG)
+        }
+    }
+}
+
 /// Prints what files settle, or all that is wrong with them.
 fn check(files: &[PathBuf], json: bool) -> ExitCode {
     match oatpitch_operator::read(files) {
@@ -180,6 +201,15 @@
         }
         None => (None, None),
     };
+    let mut hooked = operator.hooks.as_ref().map(|record| {
+        let words =
+            Words { zones: posting.charge.zones.clone(), classes: posting.charge.classes.clone(), ahead: 0 };
+        let folder = hooks::folder(&files);
+        let (hooked, lines) = Hooks::start(record, &folder, posting.charge.mandate.clone(), words);
+        lines.iter().for_each(|line| warn!(log, "{line}"));
+        info!(log, "hooks: {}", record.each.len());
+        hooked
+    });
     let followers = operator.channel.as_ref().map_or(0, |record| record.subscribers);
     let start = Start {
         mandate: posting.charge.mandate,
@@ -223,6 +253,7 @@
     loop {
         let mut gathered: Vec<Input> = std::mem::take(&mut clogged);
         let wake = hands.wake.map(|at| clock.instant(at));
+        let round = hooked.as_ref().map(|hooked| clock.instant(hooked.due()));
         if gathered.is_empty() {
             tokio::select! {
                 // Signals are few, and must not wait behind what always comes.
@@ -233,16 +264,28 @@
                     let read = read(Occasion::Renewal);
                     let renewal = read.map(|posting| (posting.discovery, stated.fixed(&posting)));
                     gathered.push(Input::Renewed(renewal.map_err(|trouble| format!("{trouble:#}"))));
-                    gathered.push(Input::Noted(hands.renew(&mut operator, &files)));
+                    gathered.push(Input::Noted(hands.renew(&mut operator, &mut hooked, &files)));
                 }
                 _ = show.recv() => {
                     info!(log, "counters: {}", memory.counters);
                     if let Some(server) = &hands.channel {
                         info!(log, "channel: {}", server.figures());
                     }
+                    hooked.iter_mut().for_each(|hooked| hooked.list(turned));
                     continue;
                 }
                 input = inputs.recv() => gathered.extend(input),
+                Some(told) = next_told(&mut hooked) => {
+                    if let Some(hooked) = &mut hooked {
+                        let (inputs, lines) = hooked.hear(turned, told, &memory);
+                        lines.iter().for_each(|line| info!(log, "hooks: {line}"));
+                        if inputs.is_empty() {
+                            continue;
+                        }
+                        gathered.extend(inputs);
+                    }
+                }
+                () = sleep(round) => {}
                 Some(event) = next_event(&mut events) => gathered.extend(channel::inputs(event)),
                 () = sleep(wake) => {}
             }
@@ -256,6 +299,7 @@
             let Ok(input) = inputs.try_recv() else { break };
             gathered.push(input);
         }
+        gathered.extend(hooked.iter_mut().flat_map(|hooked| hooked.begin(turned, &memory)));
         while let Some(events) = events.as_mut().filter(|_| gathered.len() < limits::TURN_MOST) {
             let Ok(event) = events.try_recv() else { break };
             gathered.extend(channel::inputs(event));
@@ -274,6 +318,14 @@
     Ok(())
 }
 
+/// Nothing, for good, where there are no hooks.
+async fn next_told(hooked: &mut Option<Hooks>) -> Option<Told> {
+    match hooked {
+        Some(hooked) => hooked.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Nothing, for good, where no channel is published.
 async fn next_event(events: &mut Option<mpsc::Receiver<Event>>) -> Option<Event> {
     match events {
@@ -333,7 +385,7 @@
 
     /// The operator's files are read anew: what can be taken over is, and the rest is told. Where they can't be
     /// read, all stays as it is.
-    fn renew(&self, operator: &mut Operator, files: &[PathBuf]) -> Vec<String> {
+    fn renew(&self, operator: &mut Operator, hooked: &mut Option<Hooks>, files: &[PathBuf]) -> Vec<String> {
         let renewed = match settled(files) {
             Ok(settled) => settled.operator,
             Err(trouble) => return vec![format!("operator's file not taken over: {trouble:#}")],
@@ -355,6 +407,14 @@
             };
             told.push("operator's file: the channel's limits are taken over".into());
         }
+        match (hooked, &renewed.hooks) {
+            (Some(hooked), Some(record)) => {
+                told.extend(hooked.renew(record, &hooks::folder(files)));
+                operator.hooks = Some(record.clone());
+            }
+            (None, None) => {}
+            _ => told.push("operator's file: hooks has changed, which takes a new start".into()),
+        }
         told
     }
 
--- /dev/null
+++ b/crates/hooks/src/core/mod.rs
@@ -0,0 +1,7 @@
+//! What hooks see, what they may answer, and what comes of it.
+
+pub mod answer;
+pub mod events;
+pub mod guard;
+pub mod standing;
+pub mod view;
--- /dev/null
+++ b/crates/hooks/src/core/view.rs
@@ -0,0 +1,198 @@
+//! What hooks see of a conductor: read-only, by names, the same for all hooks of a round.
+
+use std::collections::BTreeMap;
+
+use oatpitch::interface::{FurtherTries, LevelKind, Look, Mandate, NodeId, Repeat, Time};
+use serde::{Deserialize, Serialize};
+
+/// One round's view.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct View {
+    /// Milliseconds since 1970, and minutes since midnight in the time that operators set.
+    pub now_ms: u64,
+    pub minute: u32,
+    /// 0 where the fleet keeps up, 1 where it is tense, 2 where it falls short.
+    pub strain: u8,
+    /// Parts that the table is cut into.
+    pub parts: u16,
+    /// What levels are: `share`, `rate` (a second at each proxy), or `ignored`.
+    pub levels: String,
+    pub zones: Vec<String>,
+    pub classes: Vec<ClassView>,
+    pub nodes: Vec<NodeView>,
+    pub proxies: Vec<ProxyView>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassView {
+    pub name: String,
+    /// A repeat has an effect.
+    pub effect: bool,
+    /// Exchanges a second, as heard.
+    pub asked: f64,
+    /// What the module allows: 0 no further tries, 1 only those that never ran, 2 one, 3 two.
+    pub tries: u8,
+    /// What the module lets in; 1e9 for all.
+    pub amount: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeView {
+    pub name: String,
+    pub zone: String,
+    /// Its kind of machine, by number.
+    pub kind: u8,
+    pub part: u16,
+    /// Neither draining nor gone.
+    pub open: bool,
+    /// Its ramp is over, and how much of it is done, 0 to 1.
+    pub warm: bool,
+    pub done: f64,
+    /// Share of its weight that its health leaves it, and whether it is on trial.
+    pub ease: f64,
+    pub trial: bool,
+    pub listed: f64,
+    /// The weight of its line, 0 for none.
+    pub stands: f64,
+    /// Tries met there lately, those lost, and the mean time of the good ones.
+    pub tries: f64,
+    pub lost: f64,
+    pub mean_ms: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProxyView {
+    pub proxy: u16,
+    pub zone: String,
+    pub rate: f64,
+    /// None before it is bound.
+    pub part: Option<u16>,
+}
+
+pub fn number(tries: FurtherTries) -> u8 {
+    match tries {
+        FurtherTries::None => 0,
+        FurtherTries::IfNeverRan => 1,
+        FurtherTries::One => 2,
+        FurtherTries::Two => 3,
+    }
+}
+
+/// Names of what a conductor has by number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Words {
+    pub zones: Vec<String>,
+    pub classes: Vec<String>,
+    /// Minutes that the operators' clock is ahead of the common one.
+    pub ahead: i32,
+}
+
+impl View {
+    /// What scripts are tried on before they take part: nodes in every state, classes of both kinds, proxies
+    /// bound and not.
+    pub fn sample() -> View {
+        let node = |k: usize| NodeView {
+            name: format!("s-{k}"),
+            zone: ["a", "b"][k % 2].into(),
+            kind: (k % 3) as u8,
+            part: (k % 2) as u16,
+            open: k != 5,
+            warm: k != 4,
+            done: if k == 4 { 0.3 } else { 1.0 },
+            ease: if k == 3 { 0.5 } else { 1.0 },
+            trial: false,
+            listed: 1.0,
+            stands: if k == 5 { 0.0 } else { 1.0 },
+            tries: 100.0,
+            lost: if k == 3 { 12.0 } else { 1.0 },
+            mean_ms: 40.0 + k as f64,
+        };
+        let class = |name: &str, effect, tries| ClassView {
+            name: name.into(),
+            effect,
+            asked: 100.0,
+            tries,
+            amount: oatpitch::interface::ALL_IN,
+        };
+        let proxy = |k: u16| ProxyView {
+            proxy: k,
+            zone: ["a", "b"][usize::from(k % 2)].into(),
+            rate: 10.0 + f64::from(k),
+            part: (k > 1).then_some(k % 2),
+        };
+        View {
+            now_ms: 1_700_000_000_000,
+            minute: 23 * 60 + 30,
+            strain: 1,
+            parts: 2,
+            levels: "share".into(),
+            zones: vec!["a".into(), "b".into()],
+            classes: vec![class("quote", false, 2), class("advance", true, 1)],
+            nodes: (0..8).map(node).collect(),
+            proxies: (0..6).map(proxy).collect(),
+        }
+    }
+
+    /// What the module shows, by names. Nodes without a name are left out.
+    pub fn of(look: &Look, mandate: &Mandate, words: &Words, names: &BTreeMap<NodeId, String>) -> View {
+        let zone = |zone: u16| words.zones.get(usize::from(zone)).cloned().unwrap_or_default();
+        let node = |node: &oatpitch::interface::NodeLook| {
+            Some(NodeView {
+                name: names.get(&node.node)?.clone(),
+                zone: zone(node.zone.0),
+                kind: node.kind,
+                part: node.part,
+                open: node.open,
+                warm: node.warm,
+                done: node.done,
+                ease: node.ease,
+                trial: node.trial,
+                listed: node.listed,
+                stands: node.stands,
+                tries: node.tries,
+                lost: node.lost,
+                mean_ms: node.mean * 1e3,
+            })
+        };
+        let proxy = |proxy: &oatpitch::interface::ProxyLook| ProxyView {
+            proxy: proxy.proxy.0,
+            zone: zone(proxy.zone.0),
+            rate: proxy.rate,
+            part: proxy.part,
+        };
+        let class = |class: usize| {
+            let level = look.levels.get(class).copied();
+            ClassView {
+                name: words.classes.get(class).cloned().unwrap_or_default(),
+                effect: mandate.exchanges[class].repeat != Repeat::Safe,
+                asked: look.demand.get(class).copied().unwrap_or_default(),
+                tries: level.map_or(0, |(tries, _)| number(tries)),
+                amount: level.map_or(0.0, |(_, amount)| amount),
+            }
+        };
+        View {
+            now_ms: look.now.0 / 10,
+            minute: minute(look.now, words.ahead),
+            strain: look.strain,
+            parts: look.parts,
+            levels: match mandate.levels {
+                LevelKind::Share => "share".into(),
+                LevelKind::Rate => "rate".into(),
+                LevelKind::Ignored => "ignored".into(),
+            },
+            zones: words.zones.clone(),
+            classes: (0..mandate.exchanges.len()).map(class).collect(),
+            nodes: look.nodes.iter().filter_map(node).collect(),
+            proxies: look.proxies.iter().map(proxy).collect(),
+        }
+    }
+}
+
+fn minute(now: Time, ahead: i32) -> u32 {
+    let minutes = i64::try_from(now.0 / 600_000).unwrap_or_default() + i64::from(ahead);
+    u32::try_from(minutes.rem_euclid(1_440)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/hooks/src/set.rs
@@ -0,0 +1,246 @@
+//! All hooks of a conductor: loaded in their order, asked round by round, put out and tried again by what they
+//! do. Nothing here is asked twice for the same view, and the same views give the same outcome.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use oatpitch::interface::Time;
+
+use crate::core::answer::{Cuts, HookId, Point};
+use crate::core::events;
+use crate::core::guard::{Bounds, Check, Guard, Settled, Subject, Wanted};
+use crate::core::standing::{Breaker, Place, Standing, Step, Terms};
+use crate::core::view::{NodeView, View};
+use crate::engine::{About, Limits, Program, Shown, Trouble};
+
+/// One hook as operators set it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Named {
+    pub name: String,
+    /// Where its script stands, for messages, and the script.
+    pub place: String,
+    pub source: String,
+    pub order: u32,
+    pub limits: Limits,
+    pub settings: serde_json::Value,
+}
+
+/// What became known of a hook, by name, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub hook: String,
+    pub what: String,
+    /// Something is wrong.
+    pub bad: bool,
+}
+
+struct Hook {
+    named: Named,
+    program: Program,
+    standing: Standing,
+    calls: u64,
+    failures: u64,
+    /// Of the present round.
+    spent: Duration,
+}
+
+/// Proxies placed in one round; others are the module's.
+const PLACED_MOST: usize = 64;
+
+pub struct Set {
+    hooks: Vec<Hook>,
+    guard: Guard,
+    terms: Terms,
+    breaker: Breaker,
+    before: Option<Shown>,
+    /// What was cut since the start, and rounds.
+    pub cuts: Cuts,
+    pub rounds: u64,
+}
+
+impl Set {
+    pub fn new(bounds: Bounds, terms: Terms) -> Set {
+        let (cuts, breaker) = Default::default();
+        Set { hooks: Vec::new(), guard: Guard::new(bounds), terms, breaker, before: None, cuts, rounds: 0 }
+    }
+
+    /// Takes over other hooks, or the same anew. One that can't be loaded leaves the one of its name as it is, if
+    /// there is one; each is told by name. Stores are kept by name, and dropped with their hook.
+    pub fn renew(&mut self, bounds: Bounds, terms: Terms, named: Vec<Named>, sample: &Shown) -> Vec<Report> {
+        self.guard.renew(bounds);
+        self.terms = terms;
+        let mut reports = Vec::new();
+        let mut old: BTreeMap<String, Hook> =
+            std::mem::take(&mut self.hooks).into_iter().map(|hook| (hook.named.name.clone(), hook)).collect();
+        for named in named {
+            let before = old.remove(&named.name);
+            let same = before.as_ref().is_some_and(|before| before.named == named);
+            match (before, same) {
+                // Unchanged: what it has earned stands.
+                (Some(before), true) => self.hooks.push(before),
+                (before, _) => {
+                    match Program::load(&named.source, named.limits.clone(), &named.settings, sample) {
+                        Ok(mut program) => {
+                            before.iter().for_each(|before| program.inherit(&before.program));
+                            let verb = if before.is_some() { "replaced" } else { "taken" };
+                            let points: Vec<String> = program.points().iter().map(Point::to_string).collect();
+                            let what = format!("{verb}, at {}", points.join(", "));
+                            reports.push(Report { hook: named.name.clone(), what, bad: false });
+                            self.hooks.push(Hook {
+                                named,
+                                program,
+                                standing: Standing::default(),
+                                calls: 0,
+                                failures: 0,
+                                spent: Duration::ZERO,
+                            });
+                        }
+                        Err(Trouble { line, column, what }) => {
+                            let place = if line > 0 { format!(":{line}:{column}") } else { String::new() };
+                            let stays =
+                                if before.is_some() { "; the one before stays" } else { "; not taken" };
+                            let what = format!("{}{place}: {what}{stays}", named.place);
+                            reports.push(Report { hook: named.name.clone(), what, bad: true });
+                            self.hooks.extend(before);
+                        }
+                    }
+                }
+            }
+        }
+        for name in old.into_keys() {
+            reports.push(Report { hook: name, what: "dropped, and its store with it".into(), bad: false });
+        }
+        self.hooks
+            .sort_by(|one, two| (one.named.order, &one.named.name).cmp(&(two.named.order, &two.named.name)));
+        reports
+    }
+
+    /// One line for each hook.
+    pub fn list(&self, now: Time) -> Vec<String> {
+        let line = |(k, hook): (usize, &Hook)| {
+            let place = match hook.standing.place() {
+                Place::In => "in".to_string(),
+                Place::Trial(left) => format!("on trial for {left} calls"),
+                Place::Out(until) => format!("out for {:.1} s", (until - now).seconds()),
+            };
+            let points: Vec<String> = hook.program.points().iter().map(Point::to_string).collect();
+            let own = |((id, ..), _): &(&(HookId, Point, crate::core::answer::Rule), &u64)| id.0 == k as u16;
+            let cuts: u64 = self.cuts.iter().filter(own).map(|(_, count)| count).sum();
+            let Hook { named, calls, failures, .. } = hook;
+            let points = points.join(",");
+            format!(
+                "{} {place} at {points} order={} calls={calls} failures={failures} cuts={cuts}",
+                named.name, named.order
+            )
+        };
+        self.hooks.iter().enumerate().map(line).collect()
+    }
+
+    /// Asks every hook that is in, in their order, and settles what they want.
+    pub fn round(&mut self, now: Time, shown: &Shown) -> (Settled, Vec<Report>) {
+        self.rounds += 1;
+        self.breaker.begin();
+        let view: &View = &shown.0;
+        let nodes: BTreeMap<&str, &NodeView> =
+            view.nodes.iter().map(|node| (node.name.as_str(), node)).collect();
+        let happened =
+            self.before.as_ref().map(|before| events::between(&before.0, view)).unwrap_or_default();
+        let (mut wanted, mut reports, mut skipped) = (Wanted::default(), Vec::new(), false);
+        for (k, hook) in self.hooks.iter_mut().enumerate() {
+            hook.spent = Duration::ZERO;
+            if self.breaker.left(&self.terms) == Time::default() {
+                skipped = true;
+                continue;
+            }
+            let (asked, step) = hook.standing.asked(now, &self.terms);
+            reports.extend(step.map(|step| told(&hook.named.name, &step)));
+            if !asked {
+                continue;
+            }
+            let mut all = Vec::new();
+            for point in hook.program.points() {
+                let classes = 0..view.classes.len();
+                match point {
+                    Point::Shape | Point::Admit => all.push((*point, About::View, Subject::Nodes)),
+                    Point::Level | Point::Tries => {
+                        all.extend(classes.map(|class| (*point, About::Class(class), Subject::Class(class))));
+                    }
+                    Point::Place => {
+                        let unbound =
+                            view.proxies.iter().enumerate().filter(|(_, proxy)| proxy.part.is_none());
+                        let unbound = unbound.take(PLACED_MOST);
+                        all.extend(
+                            unbound.map(|(place, _)| (*point, About::Proxy(place), Subject::Proxy(place))),
+                        );
+                    }
+                    Point::Notice => {
+                        all.extend(
+                            happened.iter().map(|event| (*point, About::Event(event), Subject::Nodes)),
+                        );
+                    }
+                }
+            }
+            let mut check = Check { bounds: self.guard.bounds(), view, nodes: &nodes, cuts: &mut self.cuts };
+            // What a hook that fails in this round has said in it does not count.
+            let mut own = wanted.clone();
+            let mut failed = None;
+            for (point, about, subject) in all {
+                let start = Instant::now();
+                let answer = hook.program.ask(point, &about, shown);
+                let took = start.elapsed();
+                hook.spent += took;
+                hook.calls += 1;
+                self.breaker.spend(Time(u64::try_from(took.as_micros() / 100).unwrap_or(u64::MAX)));
+                match answer {
+                    Ok(answer) => check.take(HookId(k as u16), point, subject, &answer, &mut own),
+                    Err(trouble) => {
+                        failed = Some(format!("{point}: {trouble}"));
+                        break;
+                    }
+                }
+                if self.breaker.left(&self.terms) == Time::default() {
+                    skipped = true;
+                    break;
+                }
+            }
+            let step = match failed {
+                Some(cause) => {
+                    hook.failures += 1;
+                    let step = hook.standing.failed(now, &cause, &self.terms);
+                    let what = format!("failed at {}:{cause}", hook.named.place);
+                    reports.push(Report { hook: hook.named.name.clone(), what, bad: true });
+                    step
+                }
+                None => {
+                    wanted = own;
+                    hook.standing.did_well()
+                }
+            };
+            reports.extend(step.map(|step| told(&hook.named.name, &step)));
+        }
+        if self.breaker.end(skipped)
+            && let Some(dearest) = self.hooks.iter_mut().max_by_key(|hook| hook.spent)
+        {
+            let cause = "the dearest of rounds that took too long";
+            dearest.standing = Standing::default();
+            let terms = Terms { failures: 1, ..self.terms.clone() };
+            let step = dearest.standing.failed(now, cause, &terms);
+            reports.extend(step.map(|step| told(&dearest.named.name, &step)));
+        }
+        self.before = Some(shown.clone());
+        let settled = self.guard.settle(now, view, &wanted, &mut self.cuts);
+        (settled, reports)
+    }
+}
+
+fn told(hook: &str, step: &Step) -> Report {
+    let (what, bad) = match step {
+        Step::PutOut { failures, wait, cause } => {
+            let wait = wait.seconds();
+            (format!("put out for {wait:.1} s after {failures} failures, the last: {cause}"), true)
+        }
+        Step::Tried => ("tried again".into(), false),
+        Step::TakenBack => ("taken back".into(), false),
+    };
+    Report { hook: hook.into(), what, bad }
+}
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use oatpitch::interface::Time;
+use oatpitch::interface::{Advice, Time};
 
 use heard::{News, Said, Unusable};
 use message::Message;
@@ -60,6 +60,8 @@
     /// The configuration was read anew: where discovery is now, and the keys that only a new start takes
     /// over; or what is wrong with it.
     Renewed(Result<(SocketAddr, Vec<&'static str>), String>),
+    /// What others would have of the tables, within bounds already.
+    Advised(Advice),
     /// What the host took over or could not, for the log.
     Noted(Vec<String>),
     /// The watch of this number was answered.
--- a/crates/memory/src/reducer.rs
+++ b/crates/memory/src/reducer.rs
@@ -128,6 +128,10 @@
             Input::Spoilt(conn, cause) => self.unusable(conn, "messages spoilt", &cause.to_string()),
             Input::Ended(conn, ending) => self.ended(conn, ending),
             Input::Renewed(renewal) => self.renewed(renewal),
+            Input::Advised(advice) => {
+                self.counters.add("advice taken", 1);
+                self.balance.advise(now, advice, &mut self.ordered);
+            }
             Input::Noted(lines) => lines.into_iter().for_each(|line| self.complain(line)),
             Input::Watching(number) => self.watching(number),
             Input::News(number, news) => self.news(number, news),
@@ -156,6 +160,19 @@
         self.settled
     }
 
+    /// What the module shows of itself, and the names of its nodes.
+    pub fn look(&self) -> (Look, BTreeMap<NodeId, String>) {
+        let look = self.balance.look();
+        let name = |node: &NodeLook| Some((node.node, self.names.name(node.node)?.to_string()));
+        let names = look.nodes.iter().filter_map(name).collect();
+        (look, names)
+    }
+
+    /// A node by its name.
+    pub fn node(&self, name: &str) -> Option<NodeId> {
+        self.names.id(name)
+    }
+
     /// How many nodes have a name here.
     #[cfg(test)]
     pub fn known(&self) -> usize {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -173,12 +173,13 @@
 
 /// Where the value of a key was last stated.
 fn place(held: &Held, key: &str) -> Option<Place> {
-    key.split('.')
-        .try_fold(held, |held, name| match &held.value {
-            Value::Record(record) => record.fields.get(name).map(|field| &field.held),
-            _ => None,
-        })
-        .map(|held| held.at)
+    let names = key.split(['.', '[', ']']).filter(|name| !name.is_empty());
+    let found = names.into_iter().try_fold(held, |held, name| match &held.value {
+        Value::Record(record) => record.fields.get(name).map(|field| &field.held),
+        Value::List(items) => items.get(name.parse::<usize>().ok()?),
+        _ => None,
+    });
+    found.map(|held| held.at)
 }
 
 fn told(files: &SimpleFiles<String, String>, problem: Problem) -> Told {
--- a/crates/operator/src/records/mod.rs
+++ b/crates/operator/src/records/mod.rs
@@ -2,6 +2,7 @@
 //! another needs.
 
 pub mod channel;
+pub mod hooks;
 
 use oatpitch::interface::Time;
 use serde::de::Error;
@@ -10,7 +11,8 @@
 use crate::core::value::Scalar;
 
 /// Schemas by the name that problems in them are told under.
-pub const SCHEMAS: [(&str, &str); 1] = [("channel.cue", include_str!("channel.cue"))];
+pub const SCHEMAS: [(&str, &str); 2] =
+    [("channel.cue", include_str!("channel.cue")), ("hooks.cue", include_str!("hooks.cue"))];
 
 /// All that operators can set. What is absent is off.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -19,6 +21,7 @@
     pub channel: Option<channel::Channel>,
     pub relay: Option<channel::Relay>,
     pub follow: channel::Follow,
+    pub hooks: Option<hooks::Hooks>,
 }
 
 impl Operator {
@@ -26,7 +29,7 @@
     pub fn odds(&self) -> Vec<(String, String, String)> {
         let own = self.channel.iter().filter_map(|record| channel::odds(record, "channel"));
         let relay = self.relay.iter().filter_map(|record| channel::odds(&record.publish, "relay.publish"));
-        own.chain(relay).collect()
+        own.chain(relay).chain(self.hooks.iter().flat_map(hooks::odds)).collect()
     }
 
     /// Keys in which another file differs that only a new start takes over.
--- /dev/null
+++ b/deploy/hooks/night.rhai
@@ -0,0 +1,17 @@
+// At night one zone is preferred: its nodes stand at all they may, the others' at less.
+
+fn settings() {
+    #{ zone: "string", begins: #{ "type": "int", "default": 22 }, ends: #{ "type": "int", "default": 6 },
+       others: #{ "type": "number", "default": 0.5 } }
+}
+
+fn shape(view, settings) {
+    let hour = view.minute / 60;
+    let night = hour >= settings.begins || hour < settings.ends;
+    if !night { return; }
+    let shares = #{};
+    for node in view.nodes {
+        if node.open && node.zone != settings.zone { shares[node.name] = settings.others; }
+    }
+    shares
+}
--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -28,6 +28,37 @@
 	hold:  #Patience
 }
 
+// Scripts that shape routing within bounds: docs/hooks.md.
+hooks: {
+	each: [
+		{
+			name:       "night"
+			script:     "hooks/night.rhai"
+			order:      100
+			operations: 200_000
+			memory:     256KiB
+			wall:       20ms
+			settings: {zone: "b", begins: 22, ends: 6}
+		},
+		{name: "slow-start", script: "hooks/slow-start.rhai", settings: {kind: 0}},
+		{name: "priced", script: "hooks/priced.rhai"},
+	]
+	period:    500ms
+	round:     100ms
+	least:     0.25
+	most:      2
+	let_in:    0.1
+	lines:     50
+	stand:     2s
+	failures:  3
+	span:      1m
+	wait:      10s
+	wait_most: 10m
+	good:      20
+	stale:     5s
+	ahead:     0
+}
+
 // `oatpitch follow`.
 follow: hold: #Patience
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,6 +7,8 @@
 
 use crate::interface::*;
 
+mod look;
+
 // ---- Constants ----
 
 /// Part of the connections that the smallest nodes accept which one table may lead to, since nodes lose speed
@@ -224,6 +226,7 @@
     waits: BTreeSet<(bool, Time, ProxyId)>,
     channel: Channel,
     fleet: Fleet,
+    advice: Advice,
     /// When the roster must be asked again, if it must, and how often in a row it failed.
     ask_due: Option<Time>,
     failures: u32,
@@ -265,6 +268,7 @@
             channel: Channel { pace, ..Channel::default() },
             // Starting over: what an earlier life held back is forgotten.
             fleet: Fleet { strain: Strain::Short, strained: now, crowds: true, amounts, ..Fleet::default() },
+            advice: Advice::default(),
             ask_due: mandate.roster_asked.then_some(now),
             failures: 0,
             alarm: now,
@@ -504,12 +508,13 @@
     }
 
     /// The weight that a node should stand at in the shared table; 0 for no line.
-    fn weight(&self, node: &Node, (warm, crowd): (f64, f64)) -> f64 {
+    fn weight(&self, id: &NodeId, node: &Node, (warm, crowd): (f64, f64)) -> f64 {
         if node.barred.is_some() {
             return 0.0;
         }
         let done = f64::from(node.step) / f64::from(RAMP_STEPS);
         let mut share = RAMP_START + (1.0 - RAMP_START) * done;
+        let advised = self.advice.weights.get(id).copied().unwrap_or(1.0);
         if node.step < RAMP_STEPS {
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * done;
             // Proxies that keep away from nodes failing them crowd onto those that do not, however little
@@ -526,6 +531,9 @@
             }
             // Rule 4 where few nodes are warm: their missing part must not fall on the cold ones.
             share = share.min(warmth * self.mandate.fall_multiple * FALL_SHARE[strain as usize] * crowd);
+            share *= advised.min(1.0);
+        } else {
+            share *= advised;
         }
         node.listed * (share * node.ease).max(LINE_LEAST)
     }
@@ -549,7 +557,10 @@
 
     fn wanted_levels(&self) -> Vec<(FurtherTries, f64)> {
         let exchanges = self.mandate.exchanges.iter().zip(&self.fleet.amounts);
-        exchanges.map(|(terms, amount)| (self.mandate.tries(terms, self.fleet.strain), *amount)).collect()
+        let wanted = exchanges.map(|(terms, amount)| (self.mandate.tries(terms, self.fleet.strain), *amount));
+        // Advice lets in less and tries less often, never more.
+        let most = self.advice.levels.iter().copied().chain(std::iter::repeat((FurtherTries::Two, ALL_IN)));
+        wanted.zip(most).map(|(own, most)| (own.0.min(most.0), own.1.min(most.1))).collect()
     }
 
     /// Whether a proxy may be written one more message, within a share of what is allowed.
@@ -648,7 +659,9 @@
             let proxies = self.proxies.values().filter(|proxy| proxy.bound && proxy.part == part);
             proxies.map(|proxy| proxy.rate).sum()
         };
-        let least = self.open_parts().into_iter().min_by(|a, b| load(*a).total_cmp(&load(*b)));
+        let (open, advised) = (self.open_parts(), self.advice.parts.get(&proxy).copied());
+        let advised = advised.filter(|part| open.contains(part));
+        let least = advised.or_else(|| open.into_iter().min_by(|a, b| load(*a).total_cmp(&load(*b))));
         let lines = self.bind_lines() - self.mandate.message_head;
         let Some(met) = self.proxies.get_mut(&proxy) else { return };
         (met.bound, met.part) = (true, least.unwrap_or_default());
@@ -913,8 +926,8 @@
             self.snapshot.values().map(|node| (node.part, node.zone)).collect();
         let around = places.into_iter().map(|place| (place, self.around(place.0, place.1)));
         let around: BTreeMap<(u16, ZoneId), (f64, f64)> = around.collect();
-        let weight = |node: &Node| self.weight(node, around[&(node.part, node.zone)]);
-        let wanted = self.snapshot.iter().map(|(id, node)| (*id, weight(node)));
+        let weight = |id: &NodeId, node: &Node| self.weight(id, node, around[&(node.part, node.zone)]);
+        let wanted = self.snapshot.iter().map(|(id, node)| (*id, weight(id, node)));
         let buffer: BTreeMap<NodeId, f64> = wanted.filter(differs).collect();
         let levels = !self.table.levels.is_empty() && self.table.levels != self.wanted_levels();
         let opened = (levels || !buffer.is_empty()).then(|| self.table.opened.unwrap_or(self.now));
--- /dev/null
+++ b/src/balance/look.rs
@@ -0,0 +1,54 @@
+//! What the module shows of itself, and how advice reaches it. Nothing is decided here: what advice is worth is
+//! weighed where weights, levels, tries and parts are chosen.
+
+use super::*;
+
+impl Balance {
+    /// The state of its decisions, as it stands now.
+    pub fn look(&self) -> Look {
+        let node = |(id, node): (&NodeId, &Node)| {
+            let [tries, lost, time] = node.met.sums(self.now);
+            NodeLook {
+                node: *id,
+                zone: node.zone,
+                kind: node.kind,
+                part: node.part,
+                open: node.barred.is_none(),
+                listed: node.listed,
+                warm: node.step == RAMP_STEPS,
+                done: f64::from(node.step) / f64::from(RAMP_STEPS),
+                ease: node.ease,
+                trial: node.ease <= TRICKLE,
+                stands: self.table.lines.get(id).copied().unwrap_or(0.0),
+                tries,
+                lost,
+                mean: time / (tries - lost).max(1e-3),
+            }
+        };
+        let proxy = |(id, proxy): (&ProxyId, &Proxy)| ProxyLook {
+            proxy: *id,
+            zone: proxy.zone,
+            rate: proxy.rate,
+            part: proxy.bound.then_some(proxy.part),
+        };
+        Look {
+            now: self.now,
+            nodes: self.snapshot.iter().map(node).collect(),
+            proxies: self.proxies.iter().map(proxy).collect(),
+            parts: self.table.parts,
+            strain: self.fleet.strain as u8,
+            demand: (0..self.mandate.exchanges.len()).map(|class| self.demand(class).sum()).collect(),
+            levels: self.wanted_levels(),
+        }
+    }
+
+    /// Takes advice, which stands until other advice comes.
+    pub fn advise(&mut self, now: Time, mut advice: Advice, orders: To) {
+        self.turn(now);
+        // What is no share must not reach a table, whoever gave it.
+        advice.weights.retain(|_, share| share.is_finite() && *share >= 0.0);
+        self.stirred |= advice != self.advice;
+        self.advice = advice;
+        self.rang(now, orders);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,7 @@
 //! What a host and the decision module say to each other: ids, times, the mandate that is read once at
 //! start, and [`Orders`], through which the module answers. No decision is taken here.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 use std::ops::{Add, Sub};
 
@@ -201,8 +202,8 @@
     pub span: Time,
 }
 
-/// When proxies try another node of the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// When proxies try another node of the table, from never on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FurtherTries {
     None,
     IfNeverRan,
@@ -213,6 +214,68 @@
 /// A level without effect: all are let in, whether levels are shares or rates.
 pub const ALL_IN: f64 = 1e9;
 
+/// What the module shows of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Look {
+    pub now: Time,
+    pub nodes: Vec<NodeLook>,
+    pub proxies: Vec<ProxyLook>,
+    /// Parts that the one table is cut into.
+    pub parts: u16,
+    /// 0 where the fleet keeps up, 1 where it is tense, 2 where it falls short.
+    pub strain: u8,
+    /// Exchanges of each class a second, as heard.
+    pub demand: Vec<f64>,
+    /// When proxies try again, and how much is let in, by class.
+    pub levels: Vec<(FurtherTries, f64)>,
+}
+
+/// A node as the module sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeLook {
+    pub node: NodeId,
+    pub zone: ZoneId,
+    pub kind: u8,
+    pub part: u16,
+    /// Neither draining nor gone.
+    pub open: bool,
+    pub listed: f64,
+    /// Its ramp is over, and how much of it is done, 0 to 1.
+    pub warm: bool,
+    pub done: f64,
+    /// Share of its weight that its health leaves it, and whether it is on trial.
+    pub ease: f64,
+    pub trial: bool,
+    /// The weight of its line, 0 for none.
+    pub stands: f64,
+    /// Tries met there lately, those lost, and the mean time of the good ones in seconds; all fade.
+    pub tries: f64,
+    pub lost: f64,
+    pub mean: f64,
+}
+
+/// A joined proxy as the module sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProxyLook {
+    pub proxy: ProxyId,
+    pub zone: ZoneId,
+    pub rate: f64,
+    /// None before it is bound.
+    pub part: Option<u16>,
+}
+
+/// What others than the module would have of its tables. It stays within the module's own bounds: no line is
+/// opened, closed or let back by it, a cold node gets no more, and no class gets more tries or is let in more.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// The share of its weight that a node is to stand at; 1 where it is missing.
+    pub weights: BTreeMap<NodeId, f64>,
+    /// The most further tries, and the most that is let in, by class; no bound where they are missing.
+    pub levels: Vec<(FurtherTries, f64)>,
+    /// The parts that proxies are to be bound to, where they are open.
+    pub parts: BTreeMap<ProxyId, u16>,
+}
+
 /// The module's answers. All that is ordered in one turn reaches each proxy concerned as one message.
 pub trait Orders {
     /// Sets one line of a table; a weight of 0 removes it.
