--- /dev/null
+++ b/crates/conductor/benches/turns.rs
@@ -0,0 +1,217 @@
+//! What hooks cost a conductor's turns: none, one, five and twenty of them, at 30 and 700 nodes, beside the turns
+//! (as they are asked) and within them (as they might be), simple ones and ones that loop.
+//! `cargo bench -p oatpitch-conductor --bench turns`; on one core: `taskset -c 0 cargo bench ...`.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use oatpitch::interface::*;
+use oatpitch_hooks::core::guard::Bounds;
+use oatpitch_hooks::core::standing::Terms;
+use oatpitch_hooks::core::view::{View, Words};
+use oatpitch_hooks::engine::{Limits, Shown};
+use oatpitch_hooks::set::{Named, Set};
+use oatpitch_hooks::worker::{Ask, Told, Worker};
+use oatpitch_memory::heard::{Entry, News, Said};
+use oatpitch_memory::reducer::{Memory, Start};
+use oatpitch_memory::{ConnId, Input};
+
+const SIMPLE: &str = "fn shape(view, settings) { let s = #{}; \
+    for n in view.nodes { if n.lost > n.tries * 0.1 { s[n.name] = 0.5; } } s }";
+const LOOPS: &str = "fn shape(view, settings) { if view.now_ms > 1700000000000 { loop { } } }";
+const PROXIES: u16 = 100;
+const TURNS: usize = 400;
+
+fn mandate() -> Mandate {
+    let terms = |repeat| ExchangeTerms {
+        target: Time::from_ms(1_000),
+        cut_off: Time::from_ms(4_000),
+        gain: 1.0,
+        repeat,
+    };
+    Mandate {
+        exchanges: vec![terms(Repeat::Safe), terms(Repeat::Never)],
+        zones: 2,
+        roster_asked: false,
+        ask_within: Time::from_ms(10_000),
+        sums_period: Time::from_ms(1_000),
+        levels: LevelKind::Share,
+        slices: 0,
+        channel_pace: 1e9,
+        message_head: 6.0,
+        backlog: 1e9,
+        messages_most: 0,
+        messages_span: Time::default(),
+        way: Time::from_ms(200),
+        way_longest: Time::from_ms(600),
+        strikes: 5,
+        proxies: PROXIES.into(),
+        conns_least: 1e6,
+        bare: Time::from_ms(3_000),
+        grace: Time::from_ms(3_000),
+        cold_share: 0.3,
+        warm_up: Time::from_ms(12_000),
+        fall_multiple: 3.0,
+    }
+}
+
+fn terms() -> Terms {
+    Terms {
+        failures: 3,
+        span: Time::from_ms(60_000),
+        wait: Time::from_ms(10_000),
+        wait_most: Time::from_ms(600_000),
+        good: 20,
+        round: Time::from_ms(100),
+    }
+}
+
+fn bounds() -> Bounds {
+    Bounds { least: 0.25, most: 2.0, let_in: 0.1, lines: 50, hold: Time::from_ms(2_000) }
+}
+
+fn named(count: usize, source: &str) -> Vec<Named> {
+    let one = |k: usize| Named {
+        name: format!("h-{k}"),
+        place: "bench".into(),
+        source: source.into(),
+        order: k as u32,
+        limits: Limits { operations: 200_000, wall: Duration::from_millis(20), memory: 256 << 10 },
+        settings: serde_json::Value::Null,
+    };
+    (0..count).map(one).collect()
+}
+
+fn entry(k: usize) -> Entry {
+    let node = format!("s-{k:08x}");
+    Entry {
+        node,
+        zone: (k % 2) as u16,
+        kind: "m".into(),
+        standing: Standing::Ready,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// A conductor with nodes and proxies that has been going for a while.
+fn conductor(nodes: usize) -> (Memory, Time) {
+    let known = News { version: 1, whole: true, entries: (0..nodes).map(entry).collect(), unreadable: 0 };
+    let start = Start {
+        mandate: mandate(),
+        classes: 2,
+        seed: 7,
+        known,
+        discovery: ([127, 0, 0, 1], 1).into(),
+        places: 1_000,
+    };
+    let mut now = Time(17_000_000_000_000);
+    let (mut memory, _) = Memory::begin(now, start);
+    for k in 0..PROXIES {
+        let conn = ConnId(k.into());
+        let said =
+            Said::Joined { proxy: ProxyId(k), zone: ZoneId(k % 2), rate: 5.0, fresh: true, anew: false };
+        memory.turn(now, [Input::Opened(conn, ([127, 0, 0, 1], 9).into()), Input::Said(conn, said)]);
+    }
+    let collector = ConnId(1_000);
+    let said = Input::Said(collector, Said::Collector { zone: ZoneId(0) });
+    memory.turn(now, [Input::Opened(collector, ([127, 0, 0, 1], 9).into()), said]);
+    for _ in 0..20 {
+        now = now + Time::from_ms(100);
+        memory.turn(now, [Input::Bell]);
+    }
+    (memory, now)
+}
+
+/// What comes in one turn: sums of some nodes.
+fn inputs(turn: usize, nodes: usize) -> Vec<Input> {
+    let sum = |k: usize| {
+        let node = format!("s-{:08x}", (turn * 17 + k) % nodes);
+        let lost = if k.is_multiple_of(10) { 4 } else { 0 };
+        let (tries, mean, span) = (20, Time::from_ms(40), Time::from_ms(1_000));
+        Input::Said(ConnId(1_000), Said::Met { zone: ZoneId(0), node, tries, lost, mean, span })
+    };
+    (0..20).map(sum).chain([Input::Bell]).collect()
+}
+
+fn figures(mut times: Vec<f64>) -> (f64, f64, f64) {
+    times.sort_by(f64::total_cmp);
+    (times[times.len() / 2], times[times.len() * 99 / 100], times[times.len() - 1])
+}
+
+/// Where hooks are asked.
+#[derive(Clone, Copy, PartialEq)]
+enum Where {
+    Nowhere,
+    Beside,
+    Within,
+}
+
+/// Times of turns in milliseconds. A round is due every fifth turn, as every half second at ten a second.
+fn play(nodes: usize, hooks: Vec<Named>, place: Where) -> (f64, f64, f64) {
+    let (mut memory, mut now) = conductor(nodes);
+    let words =
+        Words { zones: vec!["a".into(), "b".into()], classes: vec!["q".into(), "a".into()], ahead: 0 };
+    let sample = || Shown(View::sample().into());
+    let mut set = Set::new(bounds(), terms());
+    let (tell, told) = channel();
+    let worker = (place == Where::Beside)
+        .then(|| Worker::start(bounds(), terms(), move |said| tell.send(said).is_ok()));
+    match &worker {
+        Some(worker) => {
+            assert!(worker.ask(Ask::Renew(bounds(), terms(), hooks, Box::new(View::sample()))));
+            assert!(
+                matches!(told.recv(), Ok(Told::Renewed(reports)) if reports.iter().all(|report| !report.bad))
+            );
+        }
+        None => _ = set.renew(bounds(), terms(), hooks, &sample()),
+    }
+    let mut times = Vec::new();
+    for turn in 0..TURNS {
+        now = now + Time::from_ms(100);
+        let mut said = inputs(turn, nodes);
+        let start = Instant::now();
+        let names: BTreeMap<NodeId, String>;
+        let look;
+        if place != Where::Nowhere && turn.is_multiple_of(5) {
+            (look, names) = memory.look();
+            let view = View::of(&look, &mandate(), &words, &names);
+            match &worker {
+                Some(worker) => _ = worker.ask(Ask::Round(now, Box::new(view))),
+                None => {
+                    let shown = Shown(view.into());
+                    let (settled, _) = set.round(now, &shown);
+                    said.push(Input::Advised(settled.advice(&mandate(), &shown.0, |name| memory.node(name))));
+                }
+            }
+        }
+        while let Ok(Told::Settled(settled, _)) = told.try_recv() {
+            let advice = settled.advice(&mandate(), &View::sample(), |name| memory.node(name));
+            said.push(Input::Advised(advice));
+        }
+        memory.turn(now, said);
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+        // Turns come a while apart; what goes on beside them has that time.
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    figures(times)
+}
+
+fn main() {
+    println!("a turn in milliseconds: median, 99th percentile, longest of {TURNS}; a round every fifth turn");
+    for nodes in [30, 700] {
+        let (median, late, longest) = play(nodes, Vec::new(), Where::Nowhere);
+        println!("{nodes:4} nodes, none configured      {median:8.3} {late:8.3} {longest:8.3}");
+        for (what, source) in [("simple", SIMPLE), ("looping", LOOPS)] {
+            for count in [1, 5, 20] {
+                for (word, place) in [("beside", Where::Beside), ("within", Where::Within)] {
+                    let (median, late, longest) = play(nodes, named(count, source), place);
+                    println!(
+                        "{nodes:4} nodes, {count:2} {what:7} {word}    {median:8.3} {late:8.3} {longest:8.3}"
+                    );
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/conductor/tests/hooks.rs
@@ -0,0 +1,248 @@
+//! A whole conductor with hooks on loopback: bad ones among good, told by name, replaced while it serves.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oatpitch_standins::conductor::{Running, config, free_port};
+use oatpitch_standins::discovery::Discovery;
+use serde_json::Value;
+
+/// Far beyond what anything here takes, so that a busy machine gives the same verdict.
+const LONGEST: Duration = Duration::from_secs(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_oatpitch");
+
+fn folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("oatpitch-hooks-{}-{name}", std::process::id()))
+}
+
+/// A proxy on a stream of today's protocol, and what it holds.
+struct Proxy {
+    lines: std::io::Lines<BufReader<TcpStream>>,
+    table: BTreeMap<String, f64>,
+    out: Vec<String>,
+    tries: BTreeMap<String, u64>,
+}
+
+impl Proxy {
+    fn join(address: SocketAddr, number: u16) -> Proxy {
+        let start = Instant::now();
+        let mut stream = loop {
+            match TcpStream::connect(address) {
+                Ok(stream) => break stream,
+                Err(_) if start.elapsed() < LONGEST => thread::sleep(Duration::from_millis(5)),
+                Err(trouble) => panic!("no connection: {trouble}"),
+            }
+        };
+        stream.set_read_timeout(Some(LONGEST)).expect("set");
+        let hello =
+            format!("{{\"t\":\"hello\",\"proxy\":{number},\"zone\":\"a\",\"weight\":1.0,\"fresh\":true}}\n");
+        stream.write_all(hello.as_bytes()).expect("written");
+        let (table, out, tries) = Default::default();
+        Proxy { lines: BufReader::new(stream).lines(), table, out, tries }
+    }
+
+    /// Takes one line of what it is told.
+    fn take(&mut self) {
+        let line = self.lines.next().expect("an open stream").expect("a line in time");
+        let push: Value = serde_json::from_str(&line).expect("JSON");
+        if push["full"] == true {
+            self.table.clear();
+        }
+        for line in push["endpoints"].as_array().into_iter().flatten() {
+            let (name, weight) = (line[0].as_str().expect("a name"), line[1].as_f64().expect("a weight"));
+            match weight > 0.0 {
+                true => _ = self.table.insert(name.into(), weight),
+                false => _ = self.table.remove(name),
+            }
+        }
+        let names = |key: &str| {
+            push[key]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(Value::as_str)
+                .map(String::from)
+                .collect::<Vec<_>>()
+        };
+        self.out.extend(names("eject"));
+        self.out.retain(|node| !names("restore").contains(node));
+        if let Some(tries) = push["policy"].as_u64() {
+            let classes = names("routes");
+            let all = ["quote", "advance"].map(String::from).to_vec();
+            self.tries.extend(
+                if classes.is_empty() { all } else { classes }.into_iter().map(|class| (class, tries)),
+            );
+        }
+    }
+
+    fn until(&mut self, what: &str, wanted: impl Fn(&Proxy) -> bool) {
+        let start = Instant::now();
+        while !wanted(self) {
+            assert!(start.elapsed() < LONGEST, "not seen: {what}; {:?}", self.table);
+            self.take();
+            // Whatever hooks say, a table once laid is never empty while nodes are listed.
+            assert!(self.table.keys().any(|node| !self.out.contains(node)), "no line: {:?}", self.table);
+        }
+    }
+}
+
+struct Site {
+    discovery: Discovery,
+    listen: SocketAddr,
+    folder: PathBuf,
+    running: Option<Running>,
+}
+
+impl Site {
+    /// A conductor with these scripts, by name, and more of the record.
+    fn start(name: &str, scripts: &[(&str, &str)], more: &str) -> Site {
+        let nodes: Vec<(String, &str)> = (1..=10).map(|k| (format!("s-{k}"), ["a", "b"][k % 2])).collect();
+        let nodes: Vec<(&str, &str)> = nodes.iter().map(|(node, zone)| (node.as_str(), *zone)).collect();
+        let (discovery, listen, folder) = (Discovery::start(&nodes), free_port(), folder(name));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        for (script, source) in scripts {
+            std::fs::write(folder.join(format!("{script}.rhai")), source).expect("written");
+        }
+        let operator = operator(&scripts.iter().map(|(script, _)| *script).collect::<Vec<_>>(), more);
+        let config = config(name, listen, discovery.address, 100);
+        let running = Running::start(Path::new(PROGRAM), &folder, &config, &operator);
+        Site { discovery, listen, folder, running: Some(running) }
+    }
+
+    fn stop(&mut self) -> String {
+        self.running.take().expect("running").stop()
+    }
+}
+
+fn operator(scripts: &[&str], more: &str) -> String {
+    let each: Vec<String> = scripts
+        .iter()
+        .map(|name| format!("{{name: \"{name}\", script: \"{name}.rhai\", operations: 20_000}}"))
+        .collect();
+    format!(
+        "hooks: {{\n\tperiod: 100ms\n\tround: 100ms\n\tstand: 200ms\n\twait: 300ms\n\t{more}\n\teach: [{}]\n}}\n",
+        each.join(", ")
+    )
+}
+
+/// Routing goes on within every limit beside deliberately bad hooks, each is named in the log, and the good one
+/// among them counts.
+#[test]
+fn bad_hooks_are_named_and_routing_goes_on() {
+    let scripts = [
+        ("loops", "fn shape(view, settings) { loop { } }"),
+        ("loops-later", "fn shape(view, settings) { if view.now_ms > 1700000000000 { loop { } } }"),
+        ("does-not-parse", "fn shape(view, settings) {\n  let x = ;\n}"),
+        ("throws", "fn shape(view, settings) { if view.now_ms > 1700000000000 { throw \"no\"; } }"),
+        ("closes", "fn shape(view, settings) { let s = #{}; for n in view.nodes { s[n.name] = 0; } s }"),
+        ("repeats", "fn tries(class, view, settings) { 3 }"),
+        (
+            "good",
+            "fn shape(view, settings) { let s = #{}; for n in view.nodes { s[n.name] = 1.0; } s[\"s-1\"] = 0.5; s }\nfn tries(c, v, s) { if c.name == \"quote\" { 0 } else { 3 } }",
+        ),
+    ];
+    let mut site = Site::start("bad", &scripts, "");
+    let mut proxy = Proxy::join(site.listen, 1);
+    proxy.until("ten nodes", |proxy| proxy.table.len() == 10);
+    proxy.until("half of s-1", |proxy| proxy.table["s-1"] == 0.5);
+    // The class that must not run twice is never tried again beyond what the module allows.
+    assert!(proxy.tries["advance"] <= 1, "{:?}", proxy.tries);
+    // A drain is a drain, whoever names its node.
+    site.discovery.set("s-2", "a", "leaving");
+    proxy.until("without s-2", |proxy| !proxy.table.contains_key("s-2"));
+    assert!(proxy.table.values().all(|weight| (0.25..=2.0).contains(weight)), "{:?}", proxy.table);
+    thread::sleep(Duration::from_millis(1_500));
+    site.running.as_ref().expect("running").signal("USR1");
+    thread::sleep(Duration::from_millis(500));
+    let log = site.stop();
+    for words in [
+        "hook loops: ",
+        "loops.rhai: shape, tried: took more operations than it may; not taken",
+        "hook loops-later: put out for 0.3 s after 3 failures",
+        "hook loops-later: tried again",
+        "does-not-parse.rhai:2:11: ",
+        "hook throws: put out for",
+        "hooks: throws out for",
+        "hooks: good in at shape,tries order=100 ",
+        "no dispatcher without a line: ",
+        "no further tries than the module's: ",
+    ] {
+        assert!(log.contains(words), "{words}: {log}");
+    }
+}
+
+/// A hook that closes every node leaves every node a line, from the first to the last.
+#[test]
+fn a_hook_that_closes_every_node_closes_none() {
+    let closes = "fn shape(view, settings) { let s = #{}; for n in view.nodes { s[n.name] = 0; } s }";
+    let mut site = Site::start("closes", &[("closes", closes)], "least: 0.01\n\tlines: 100");
+    let mut proxy = Proxy::join(site.listen, 1);
+    // `until` asserts after every line that a table once laid has one that is open: the time without is 0.
+    proxy.until("all at the least", |proxy| {
+        proxy.table.len() == 10 && proxy.table.values().all(|weight| *weight < 0.02)
+    });
+    assert!(site.stop().contains("listening"));
+}
+
+/// SIGHUP replaces a hook while calls go on; a new version that can't be loaded leaves the old one in force.
+#[test]
+fn hooks_are_replaced_while_they_are_asked() {
+    let share = |share: &str| format!("fn shape(view, settings) {{ #{{ \"s-1\": {share} }} }}");
+    let mut site = Site::start("replaced", &[("one", &share("0.5"))], "");
+    let mut proxy = Proxy::join(site.listen, 1);
+    proxy.until("half", |proxy| proxy.table.get("s-1") == Some(&0.5));
+    let write = |source: &str| std::fs::write(site.folder.join("one.rhai"), source).expect("written");
+    let running = site.running.as_ref().expect("running");
+    write("fn shape(view, settings) { let = }");
+    running.signal("HUP");
+    thread::sleep(Duration::from_millis(500));
+    write(&share("0.75"));
+    running.signal("HUP");
+    proxy.until("three quarters", |proxy| proxy.table.get("s-1") == Some(&0.75));
+    std::fs::write(site.folder.join("operator.cue"), operator(&[], "")).expect("written");
+    running.signal("HUP");
+    proxy.until("its own", |proxy| proxy.table.get("s-1") == Some(&1.0));
+    let log = site.stop();
+    for words in
+        ["one.rhai:1:32: ", "; the one before stays", "hook one: replaced, at shape", "hook one: dropped"]
+    {
+        assert!(log.contains(words), "{words}: {log}");
+    }
+}
+
+/// The sub-commands, with their codes.
+#[test]
+fn scripts_are_checked_and_tried_without_a_conductor() {
+    let run = |arguments: &[&str]| {
+        let output = Command::new(PROGRAM).env_clear().args(arguments).output().expect("ran");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), text(&output.stdout), text(&output.stderr))
+    };
+    let hooks = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/hooks/");
+    let night = format!("{hooks}night.rhai");
+    let (code, out, _) = run(&["hooks", "check", &night, "--set", "zone=b"]);
+    assert!(
+        code == Some(0) && out.contains("sound, at shape") && out.contains("zone: string, must be set"),
+        "{out}"
+    );
+    let (code, _, err) = run(&["hooks", "check", &night]);
+    assert!(code == Some(3) && err.contains("settings.zone: is not set; string is meant"), "{err}");
+    let (code, out, _) = run(&["hooks", "run", &night, "--set", "zone=b"]);
+    assert!(code == Some(0) && out.contains("shares: {\"s-0\": 0.5"), "{out}");
+    let folder = folder("recorded");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (_, sample, _) = run(&["hooks", "sample"]);
+    let recorded = folder.join("day.json");
+    std::fs::write(&recorded, sample.replace("\"minute\": 1410", "\"minute\": 720")).expect("written");
+    let recorded = recorded.to_str().expect("a path");
+    let (code, out, _) = run(&["hooks", "run", &night, "--set", "zone=b", "--input", recorded]);
+    assert!(code == Some(0) && out.contains("\"minute\":720") && out.contains("shares: {}"), "{out}");
+    let (code, _, err) = run(&["hooks", "run", &night, "--set", "zone=b", "--input", &night]);
+    assert!(code == Some(3) && err.contains("night.rhai"), "{err}");
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/hooks/src/core/mod.rs
+++ b/crates/hooks/src/core/mod.rs
@@ -4,4 +4,6 @@
 pub mod events;
 pub mod guard;
 pub mod standing;
+#[cfg(test)]
+mod tests;
 pub mod view;
--- /dev/null
+++ b/crates/hooks/src/core/tests.rs
@@ -0,0 +1,250 @@
+//! Generated answers of generated hooks against a plain model of the rules: whatever is said, what is settled and
+//! advised keeps them, round after round.
+
+use std::collections::BTreeMap;
+
+use oatpitch::interface::*;
+use quickcheck::{Gen, QuickCheck};
+
+use super::answer::*;
+use super::guard::*;
+use super::standing::*;
+use super::view::*;
+
+const BOUNDS: Bounds = Bounds { least: 0.25, most: 2.0, let_in: 0.1, lines: 3, hold: Time::from_ms(1_000) };
+const NODES: usize = 12;
+
+/// A fleet in which nodes drain, return and warm up by the bytes given.
+fn view(round: u64, picks: &[u8]) -> View {
+    let pick = |k: usize| picks.get(k % picks.len().max(1)).copied().unwrap_or_default();
+    let node = |k: usize| NodeView {
+        name: format!("s-{k}"),
+        part: (k % 3) as u16,
+        open: !pick(k).is_multiple_of(7),
+        warm: !(pick(k + 1) as usize + round as usize).is_multiple_of(5),
+        stands: if pick(k) % 7 == 0 || k % 3 == 2 && pick(3) > 200 { 0.0 } else { 1.0 },
+        ..View::sample().nodes[0].clone()
+    };
+    let proxy = |k: usize| ProxyView {
+        proxy: k as u16,
+        zone: "a".into(),
+        rate: f64::from(pick(k)) + 1.0,
+        part: (pick(k + 2) % 3 != 0).then_some(u16::from(pick(k) % 3)),
+    };
+    View {
+        parts: 3,
+        nodes: (0..NODES).map(node).collect(),
+        proxies: (0..8).map(proxy).collect(),
+        ..View::sample()
+    }
+}
+
+/// What a hook might say, from three bytes.
+fn answer((what, which, how): (u8, u8, u8)) -> (Point, Subject, Answer) {
+    let figures =
+        [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300, 0.01, 0.3, 0.5, 1.0, 1.9, 2.0, 3.0, 7.0, -0.0, 0.24999];
+    let figure = figures[usize::from(how) % figures.len()];
+    // Among the names is one that there is not.
+    let name = format!("s-{}", usize::from(which) % (NODES + 1));
+    let shares = || Answer::Shares(BTreeMap::from([(name.clone(), figure), ("s-3".into(), figure / 2.0)]));
+    match what % 7 {
+        0 | 1 => (Point::Shape, Subject::Nodes, shares()),
+        2 => (Point::Admit, Subject::Nodes, shares()),
+        3 => (Point::Level, Subject::Class(usize::from(which) % 2), Answer::Figure(figure)),
+        4 => (Point::Tries, Subject::Class(usize::from(which) % 2), Answer::Figure(figure)),
+        5 => (Point::Place, Subject::Proxy(usize::from(which) % 8), Answer::Figure(figure)),
+        _ => (Point::Shape, Subject::Class(0), Answer::Figure(figure)),
+    }
+}
+
+fn mandate() -> Mandate {
+    let terms = |repeat| ExchangeTerms {
+        target: Time::from_ms(1_000),
+        cut_off: Time::from_ms(4_000),
+        gain: 1.0,
+        repeat,
+    };
+    Mandate {
+        exchanges: vec![terms(Repeat::Safe), terms(Repeat::Never)],
+        zones: 2,
+        roster_asked: false,
+        ask_within: Time::default(),
+        sums_period: Time::from_ms(1_000),
+        levels: LevelKind::Share,
+        slices: 0,
+        channel_pace: 5_000.0,
+        message_head: 6.0,
+        backlog: 7_000.0,
+        messages_most: 0,
+        messages_span: Time::default(),
+        way: Time::from_ms(200),
+        way_longest: Time::from_ms(600),
+        strikes: 5,
+        proxies: 20,
+        conns_least: 100.0,
+        bare: Time::from_ms(3_000),
+        grace: Time::from_ms(3_000),
+        cold_share: 0.3,
+        warm_up: Time::from_ms(12_000),
+        fall_multiple: 3.0,
+    }
+}
+
+/// The plain model: each rule said once, as slowly as it likes.
+fn holds(view: &View, settled: &Settled, advice: &Advice) {
+    let node = |name: &str| view.nodes.iter().find(|node| node.name == name).expect("a node that there is");
+    let share = |node: &NodeView| settled.shares.get(&node.name).copied().unwrap_or(1.0);
+    for (name, share) in &settled.shares {
+        assert!(share.is_finite(), "{name}: {share}");
+        // Rule 1: no line is closed by a hook. Rule 3: what drains has none. Bounds of the operators.
+        assert!((BOUNDS.least..=BOUNDS.most).contains(share), "{name}: {share}");
+        assert!(node(name).open, "{name} is draining");
+    }
+    // Rule 4: as a part of the work, no cold node has more than without hooks.
+    let warm: Vec<f64> = view.nodes.iter().filter(|node| node.open && node.warm).map(share).collect();
+    for cold in view.nodes.iter().filter(|node| node.open && !node.warm) {
+        let most = warm.iter().copied().fold(1.0, f64::min);
+        assert!(share(cold) <= most, "{}: {} beside warm ones at {most}", cold.name, share(cold));
+    }
+    for (class, tries) in &settled.tries {
+        // Rule 2, for whatever class.
+        assert!(*tries <= view.classes[*class].tries, "class {class}: {tries} tries");
+    }
+    for (class, level) in &settled.levels {
+        assert!((BOUNDS.let_in..=1.0).contains(level), "class {class}: {level}");
+    }
+    for (proxy, part) in &settled.parts {
+        let served = view.nodes.iter().any(|node| node.part == *part && node.stands > 0.0);
+        assert!(served, "proxy {proxy} would have no line in part {part}");
+    }
+    // No part carries far more than the middle once its proxies are bound there, but for the last that came.
+    let load = |part: u16| -> f64 {
+        let to = |proxy: &&ProxyView| settled.parts.get(&proxy.proxy).copied().or(proxy.part) == Some(part);
+        view.proxies.iter().filter(to).map(|proxy| proxy.rate).sum()
+    };
+    let coming = |part: u16| settled.parts.values().filter(|to| **to == part).count();
+    let largest = view.proxies.iter().map(|proxy| proxy.rate).fold(0.0, f64::max);
+    let all: f64 = view.proxies.iter().map(|proxy| proxy.rate).sum();
+    for part in (0..view.parts).filter(|part| coming(*part) > 1) {
+        assert!(load(part) <= 2.0 * all / 3.0 + largest * 2.0, "part {part} carries {}", load(part));
+    }
+    for (tries, amount) in &advice.levels {
+        assert!(*tries <= FurtherTries::Two && (BOUNDS.let_in..=ALL_IN).contains(amount));
+    }
+}
+
+#[test]
+fn whatever_hooks_say_the_rules_are_kept() {
+    fn play(picks: Vec<u8>, said: Vec<(u8, u8, u8)>) {
+        let (mut guard, mut now) = (Guard::new(BOUNDS), Time(1_000_000));
+        let (mut stood, mut changed): (BTreeMap<String, f64>, BTreeMap<String, Time>) = Default::default();
+        for (round, answers) in said.chunks(4).enumerate() {
+            now = now + Time::from_ms(100 + 150 * (round as u64 % 5));
+            let seen = view(round as u64, &picks);
+            let nodes: BTreeMap<&str, &NodeView> =
+                seen.nodes.iter().map(|node| (node.name.as_str(), node)).collect();
+            let (mut wanted, mut cuts) = (Wanted::default(), Cuts::new());
+            for (k, said) in answers.iter().enumerate() {
+                let (point, subject, answer) = answer(*said);
+                let mut check = Check { bounds: &BOUNDS, view: &seen, nodes: &nodes, cuts: &mut cuts };
+                check.take(HookId(k as u16), point, subject, &answer, &mut wanted);
+            }
+            let settled = guard.settle(now, &seen, &wanted, &mut cuts);
+            let advice = settled.advice(&mandate(), &seen, |name| {
+                name.strip_prefix("s-").and_then(|k| k.parse().ok()).map(|k: u16| NodeId([0; 4], k))
+            });
+            holds(&seen, &settled, &advice);
+            // Rule 5: lines that hooks alone change. Nodes that drain or are cold change by other causes.
+            let warm = |name: &&String| nodes.get(name.as_str()).is_some_and(|node| node.open && node.warm);
+            let one = |shares: &BTreeMap<String, f64>, name: &str| shares.get(name).copied().unwrap_or(1.0);
+            let names: Vec<String> = (0..NODES).map(|k| format!("s-{k}")).collect();
+            let moved: Vec<&String> = names
+                .iter()
+                .filter(warm)
+                .filter(|name| stood.contains_key(*name) && one(&settled.shares, name) != stood[*name])
+                .collect();
+            assert!(moved.len() <= BOUNDS.lines, "{moved:?} in one round");
+            for name in moved {
+                let before = changed.insert(name.clone(), now);
+                assert!(before.is_none_or(|at| now >= at + BOUNDS.hold), "{name} changed again too soon");
+            }
+            // Only what was warm before and is now can be told to have been changed by hooks.
+            stood =
+                names.iter().filter(warm).map(|name| (name.clone(), one(&settled.shares, name))).collect();
+            changed.retain(|name, _| stood.contains_key(name));
+        }
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 3))
+        .tests(5_000)
+        .quickcheck(play as fn(Vec<u8>, Vec<(u8, u8, u8)>));
+}
+
+#[test]
+fn nothing_wanted_is_nothing_advised() {
+    let (mut guard, mut cuts) = (Guard::new(BOUNDS), Cuts::new());
+    let settled = guard.settle(Time(1), &View::sample(), &Wanted::default(), &mut cuts);
+    assert_eq!((&settled, cuts.len()), (&Settled::default(), 0));
+    let advice = settled.advice(&mandate(), &View::sample(), |_| None);
+    assert_eq!(advice, Advice::default());
+}
+
+/// A share of a class is one of what is let in, or of what each proxy is asked for.
+#[test]
+fn a_level_is_what_its_kind_says() {
+    let settled = Settled { levels: BTreeMap::from([(0, 0.5)]), ..Settled::default() };
+    let view = View::sample();
+    for (levels, amount) in
+        [(LevelKind::Share, 0.5), (LevelKind::Rate, 100.0 * 0.5 / 6.0), (LevelKind::Ignored, ALL_IN)]
+    {
+        let advice = settled.advice(&Mandate { levels, ..mandate() }, &view, |_| None);
+        assert_eq!(advice.levels, [(FurtherTries::Two, amount), (FurtherTries::Two, ALL_IN)]);
+    }
+}
+
+/// Whatever fails when, one that is out is not asked before its wait is over, waits never shrink before it is
+/// taken back, and never are longer than the most.
+#[test]
+fn who_is_out_waits_and_who_does_well_is_taken_back() {
+    fn play(steps: Vec<(u8, u8)>) {
+        let terms = Terms {
+            failures: 3,
+            span: Time::from_ms(10_000),
+            wait: Time::from_ms(1_000),
+            wait_most: Time::from_ms(16_000),
+            good: 4,
+            round: Time::from_ms(100),
+        };
+        let (mut standing, mut now) = (super::standing::Standing::default(), Time(1_000_000));
+        let (mut out, mut last, mut recent): (Option<Time>, u64, Vec<Time>) = (None, 0, Vec::new());
+        for (what, ms) in steps {
+            now = now + Time::from_ms(u64::from(ms) * 20);
+            let (asked, step) = standing.asked(now, &terms);
+            assert_eq!(asked, out.is_none_or(|until| now >= until), "{standing:?}");
+            if !asked {
+                continue;
+            }
+            assert_eq!(step.is_some(), out.take().is_some());
+            let step = if what % 3 == 0 { standing.failed(now, "x", &terms) } else { standing.did_well() };
+            if what % 3 == 0 {
+                recent.push(now);
+                recent.retain(|at| now <= *at + terms.span);
+            }
+            match step {
+                Some(Step::PutOut { failures, wait, .. }) => {
+                    assert!(failures >= 3 || last > 0, "{failures} failures at first");
+                    assert!(wait.0 >= last && wait <= terms.wait_most, "{wait:?} after {last}");
+                    (out, last) = (Some(now + wait), wait.0);
+                    recent.clear();
+                }
+                Some(Step::TakenBack) => {
+                    last = 0;
+                    recent.clear();
+                }
+                Some(Step::Tried) => panic!("tried twice"),
+                None => assert!(recent.len() < 3 || last > 0, "{recent:?}"),
+            }
+        }
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(200, 6)).tests(1_000).quickcheck(play as fn(Vec<(u8, u8)>));
+}
--- a/src/balance/look.rs
+++ b/src/balance/look.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// Times its weight that advice may give a node at most: what is beyond that is a slip.
+const ADVISED_MOST: f64 = 4.0;
+
 impl Balance {
     /// The state of its decisions, as it stands now.
     pub fn look(&self) -> Look {
@@ -47,6 +50,10 @@
         self.turn(now);
         // What is no share must not reach a table, whoever gave it.
         advice.weights.retain(|_, share| share.is_finite() && *share >= 0.0);
+        advice.weights.values_mut().for_each(|share| *share = share.min(ADVISED_MOST));
+        // Nor is a class let in less than the module ever would.
+        let least = if self.mandate.levels == LevelKind::Rate { RATE_LEAST } else { LEVEL_LEAST };
+        advice.levels.iter_mut().for_each(|(_, amount)| *amount = amount.max(least));
         self.stirred |= advice != self.advice;
         self.advice = advice;
         self.rang(now, orders);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -133,7 +133,19 @@
                 self.balance.asked(now, &asked, &mut self.world);
             }
             10 => self.balance.acknowledged(now, proxy, how % 8, ms(u64::from(how % 900)), &mut self.world),
-            _ => {}
+            // Advice that no guard has seen, sense and nonsense.
+            _ => {
+                let shares = [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300, 0.3, 2.0, 1.0];
+                let share = |k: u8| shares[usize::from(how >> (k % 4)) % shares.len()];
+                let tries = [FurtherTries::Two, FurtherTries::None, FurtherTries::IfNeverRan];
+                let level = |class: u16| (tries[usize::from(how ^ class) % 3], share(class as u8).abs());
+                let advice = Advice {
+                    weights: (0..how as u8 % 10).map(|k| (node(k), share(k))).collect(),
+                    levels: (0..how % 6).map(level).collect(),
+                    parts: (0..how % 4).map(|proxy| (ProxyId(proxy), how % 7)).collect(),
+                };
+                self.balance.advise(now, advice, &mut self.world);
+            }
         }
         // Mostly short waits on which alarms ring in time, at times a clock that stands or jumps.
         match how % 16 {
