--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -51,6 +51,8 @@
     /// It holds no table.
     pub fresh: bool,
     pub resume: Option<Point>,
+    /// What it says of itself.
+    pub tags: BTreeMap<String, String>,
 }
 
 /// What the host is to do.
--- a/crates/channel/src/core/tests.rs
+++ b/crates/channel/src/core/tests.rs
@@ -295,8 +295,14 @@
         lives.extend(self.replaced.iter_mut().filter(|(number, _)| *number == host).map(|(_, old)| old));
         let life = self.chance.usize(0..lives.len());
         let conductor = &mut *lives[life];
-        let ask =
-            Ask { proxy: ProxyId(k as u16), zone: ZoneId(0), rate: 1.0, fresh: resume.is_none(), resume };
+        let ask = Ask {
+            proxy: ProxyId(k as u16),
+            zone: ZoneId(0),
+            rate: 1.0,
+            fresh: resume.is_none(),
+            resume,
+            tags: BTreeMap::new(),
+        };
         let acts = conductor.publisher.attach(self.now, stream, place, ask);
         conductor.take(acts);
         let (life, lines) = (conductor.epoch.clone(), Lines::new(LINE_LONGEST));
@@ -783,7 +789,14 @@
 fn followed() -> (Conductor, StreamId, Time) {
     let now = Time(1_000_000);
     let mut conductor = Conductor::new(1, now, 5, "list");
-    let ask = Ask { proxy: ProxyId(0), zone: ZoneId(0), rate: 1.0, fresh: true, resume: None };
+    let ask = Ask {
+        proxy: ProxyId(0),
+        zone: ZoneId(0),
+        rate: 1.0,
+        fresh: true,
+        resume: None,
+        tags: BTreeMap::new(),
+    };
     let acts = conductor.publisher.attach(now, StreamId(1), ConnId(1), ask);
     conductor.take(acts);
     conductor.ordered.bind(ProxyId(0), TableId(0), Classes::default());
@@ -805,7 +818,8 @@
 }
 
 fn resumed(conductor: &mut Conductor, now: Time, stream: u64, resume: Option<Point>) -> Vec<Line> {
-    let ask = Ask { proxy: ProxyId(0), zone: ZoneId(0), rate: 1.0, fresh: false, resume };
+    let ask =
+        Ask { proxy: ProxyId(0), zone: ZoneId(0), rate: 1.0, fresh: false, resume, tags: BTreeMap::new() };
     let acts = conductor.publisher.attach(now, StreamId(stream), ConnId(stream), ask);
     conductor.take(acts);
     read(conductor, now, stream)
@@ -933,7 +947,14 @@
     for followers in [1, 200] {
         let mut conductor = Conductor::new(1, now, 5, "list");
         for k in 0..followers {
-            let ask = Ask { proxy: ProxyId(k), zone: ZoneId(0), rate: 1.0, fresh: true, resume: None };
+            let ask = Ask {
+                proxy: ProxyId(k),
+                zone: ZoneId(0),
+                rate: 1.0,
+                fresh: true,
+                resume: None,
+                tags: BTreeMap::new(),
+            };
             let acts = conductor.publisher.attach(now, StreamId(k.into()), ConnId(k.into()), ask);
             conductor.take(acts);
             conductor.ordered.bind(ProxyId(k), TableId(0), Classes::default());
--- a/crates/channel/src/net/client.rs
+++ b/crates/channel/src/net/client.rs
@@ -32,6 +32,8 @@
     pub zone: String,
     /// Exchanges a second.
     pub rate: f64,
+    /// What it says of itself, by name.
+    pub tags: Vec<(String, String)>,
 }
 
 /// What one who follows sees: the subscriber after each thing heard, and what that brought.
@@ -107,6 +109,9 @@
     query.append_pair("proxy", &identity.proxy.to_string());
     query.append_pair("zone", &identity.zone);
     query.append_pair("rate", &identity.rate.to_string());
+    for (name, value) in &identity.tags {
+        query.append_pair("tag", &format!("{name}:{value}"));
+    }
     query.append_pair("fresh", if resume.is_some() { "false" } else { "true" });
     if let Some(point) = resume {
         query.append_pair("epoch", &point.epoch.to_string());
--- a/crates/channel/src/net/server.rs
+++ b/crates/channel/src/net/server.rs
@@ -50,6 +50,9 @@
 const BUFFER: usize = 8 << 10;
 /// Connections beside the streams, for signs of life: as many again, and some for strangers.
 const STRANGERS: usize = 64;
+/// Tags of one subscriber, and bytes of a tag's name and of its value.
+const TAGS_MOST: usize = 8;
+const TAG_LONGEST: usize = 64;
 const PAUSE: Duration = Duration::from_millis(50);
 /// Bytes that the system holds for one stream: a withdrawal can't overtake what waits there, so that it is kept
 /// to a few whole tables. Connections that wait to be taken, as thousands come again after a restart.
@@ -319,8 +322,17 @@
 
 /// What a subscriber says in its query, each field by its key.
 fn asked(query: &str, terms: &Terms) -> Result<Ask, (&'static str, &'static str)> {
-    let mut fields: BTreeMap<String, String> = BTreeMap::new();
+    let (mut fields, mut tags): (BTreeMap<String, String>, BTreeMap<String, String>) = Default::default();
     for (key, value) in form_urlencoded::parse(query.as_bytes()) {
+        if key == "tag" {
+            let (name, value) = value.split_once(':').ok_or(("tag", "is not of the form NAME:VALUE"))?;
+            let long = name.is_empty() || name.len() > TAG_LONGEST || value.len() > TAG_LONGEST;
+            if long || tags.len() >= TAGS_MOST {
+                return Err(("tag", "is too long, has no name, or is one of too many"));
+            }
+            tags.insert(name.into(), value.into());
+            continue;
+        }
         fields.insert(key.into_owned(), value.into_owned());
     }
     let field = |key: &'static str| fields.get(key).map(String::as_str);
@@ -360,7 +372,7 @@
         Some("false") => false,
         Some(_) => return Err(("fresh", "is neither true nor false")),
     };
-    Ok(Ask { proxy: ProxyId(proxy), zone: ZoneId(zone as u16), rate, fresh, resume })
+    Ok(Ask { proxy: ProxyId(proxy), zone: ZoneId(zone as u16), rate, fresh, resume, tags })
 }
 
 #[derive(Deserialize)]
--- a/crates/conductor/benches/fanout.rs
+++ b/crates/conductor/benches/fanout.rs
@@ -103,7 +103,14 @@
     let terms = CLASSES.map(|class| ClassTerms { name: name(class), effect: class == "advance" });
     let mut publisher = Publisher::new(Json, limits(), epoch, name("l"), terms.to_vec(), 1);
     for k in 0..followers {
-        let ask = Ask { proxy: ProxyId(k), zone: ZoneId(0), rate: 1.0, fresh: true, resume: None };
+        let ask = Ask {
+            proxy: ProxyId(k),
+            zone: ZoneId(0),
+            rate: 1.0,
+            fresh: true,
+            resume: None,
+            tags: Default::default(),
+        };
         publisher.attach(Time(1), StreamId(k.into()), ConnId(k.into()), ask);
     }
     let mut counters = Counters::default();
@@ -224,7 +231,7 @@
         retry_most: Time::from_ms(2_000),
         silent: Time::from_ms(5_000),
     };
-    let identity = Identity { proxy: 1, zone: "a".into(), rate: 1.0 };
+    let identity = Identity { proxy: 1, zone: "a".into(), rate: 1.0, tags: Vec::new() };
     let (mut times, mut broken): (Vec<f64>, Option<Instant>) = (Vec::new(), None);
     let watcher = |subscriber: &Subscriber, acts: &[subscriber::Act]| {
         for act in acts {
--- a/crates/conductor/benches/turns.rs
+++ b/crates/conductor/benches/turns.rs
@@ -110,8 +110,14 @@
     let (mut memory, _) = Memory::begin(now, start);
     for k in 0..PROXIES {
         let conn = ConnId(k.into());
-        let said =
-            Said::Joined { proxy: ProxyId(k), zone: ZoneId(k % 2), rate: 5.0, fresh: true, anew: false };
+        let said = Said::Joined {
+            proxy: ProxyId(k),
+            zone: ZoneId(k % 2),
+            rate: 5.0,
+            fresh: true,
+            anew: false,
+            tags: Default::default(),
+        };
         memory.turn(now, [Input::Opened(conn, ([127, 0, 0, 1], 9).into()), Input::Said(conn, said)]);
     }
     let collector = ConnId(1_000);
@@ -153,7 +159,7 @@
     let (mut memory, mut now) = conductor(nodes);
     let words =
         Words { zones: vec!["a".into(), "b".into()], classes: vec!["q".into(), "a".into()], ahead: 0 };
-    let sample = || Shown(View::sample().into());
+    let sample = || Shown::from(View::sample());
     let mut set = Set::new(bounds(), terms());
     let (tell, told) = channel();
     let worker = (place == Where::Beside)
@@ -176,11 +182,11 @@
         let look;
         if place != Where::Nowhere && turn.is_multiple_of(5) {
             (look, names) = memory.look();
-            let view = View::of(&look, &mandate(), &words, &names);
+            let view = View::of(&look, &mandate(), &words, &names, &memory.tags());
             match &worker {
                 Some(worker) => _ = worker.ask(Ask::Round(now, Box::new(view))),
                 None => {
-                    let shown = Shown(view.into());
+                    let shown = Shown::from(view);
                     let (settled, _) = set.round(now, &shown);
                     said.push(Input::Advised(settled.advice(&mandate(), &shown.0, |name| memory.node(name))));
                 }
--- a/crates/conductor/src/run/channel.rs
+++ b/crates/conductor/src/run/channel.rs
@@ -73,8 +73,8 @@
 /// What followers do, as the reducer hears it of any proxy.
 pub fn inputs(event: Event) -> Vec<Input> {
     let joined = |peer: SocketAddr, conn, ask: oatpitch_channel::core::publisher::Ask| {
-        let (proxy, zone, rate, fresh) = (ask.proxy, ask.zone, ask.rate, ask.fresh);
-        let said = Said::Joined { proxy, zone, rate, fresh, anew: true };
+        let (proxy, zone, rate, fresh, tags) = (ask.proxy, ask.zone, ask.rate, ask.fresh, ask.tags);
+        let said = Said::Joined { proxy, zone, rate, fresh, anew: true, tags };
         vec![Input::Opened(conn, peer), Input::Said(conn, said)]
     };
     match event {
--- a/crates/conductor/src/run/command.rs
+++ b/crates/conductor/src/run/command.rs
@@ -57,6 +57,9 @@
         /// Its usual exchanges a second.
         #[arg(long, default_value_t = 1.0)]
         rate: f64,
+        /// What it says of itself; several times for several.
+        #[arg(long = "tag", value_name = "NAME:VALUE", value_parser = tag)]
+        tags: Vec<(String, String)>,
         /// Ends after so many tables.
         #[arg(long, value_name = "TABLES")]
         count: Option<u64>,
@@ -72,6 +75,11 @@
     Relay,
 }
 
+fn tag(text: &str) -> Result<(String, String), String> {
+    let (name, value) = text.split_once(':').ok_or("NAME:VALUE is meant")?;
+    Ok((name.into(), value.into()))
+}
+
 #[derive(Debug, Subcommand)]
 pub enum Hooks {
     /// Loads a script, checks it and the settings, and tries every point that it has.
--- a/crates/conductor/src/run/follow.rs
+++ b/crates/conductor/src/run/follow.rs
@@ -98,7 +98,12 @@
     info!(logger, "relaying to {} from {:?}", publish.listen, record.origins);
     let charge = relay::Charge {
         origins: record.origins.clone(),
-        identity: Identity { proxy: record.proxy, zone: record.zone.clone(), rate: record.rate },
+        identity: Identity {
+            proxy: record.proxy,
+            zone: record.zone.clone(),
+            rate: record.rate,
+            tags: Vec::new(),
+        },
         patience: patience(&record.hold, SILENT),
         limits: channel::limits(publish),
         subscribers: publish.subscribers,
--- a/crates/conductor/src/run/hooks.rs
+++ b/crates/conductor/src/run/hooks.rs
@@ -146,7 +146,7 @@
             self.answered = now;
         }
         let (look, names) = memory.look();
-        let view = View::of(&look, &self.mandate, &self.words, &names);
+        let view = View::of(&look, &self.mandate, &self.words, &names, &memory.tags());
         if self.worker.ask(Ask::Round(now, Box::new(view.clone()))) {
             self.view = view;
         } else {
@@ -200,7 +200,7 @@
         set.insert(key.into(), value);
     }
     let settings = serde_json::Value::Object(set);
-    match Program::load(&source, limits, &settings, &Shown(View::sample().into())) {
+    match Program::load(&source, limits, &settings, &Shown::from(View::sample())) {
         Ok(program) => Ok((program, source)),
         Err(trouble) => {
             let place = if trouble.line > 0 {
@@ -258,7 +258,7 @@
     let place = path.display().to_string();
     let named =
         Named { name, place, source, order: 0, limits: usual(), settings: serde_json::Value::Object(set_to) };
-    let shown = Shown(view.into());
+    let shown = Shown::from(view);
     for report in set.renew(bounds, terms, vec![named], &shown) {
         println!("{}", line(&report));
     }
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -51,20 +51,26 @@
 pub fn main() -> ExitCode {
     let line = Line::parse();
     let files = line.operator.files;
-    let started = match line.command {
-        None | Some(Command::Serve) => settled(&files).and_then(|settled| {
-            let posting = read(Occasion::Start)?;
-            run(conduct(posting, files, settled.operator))
-        }),
-        Some(Command::Check { files, json }) => return check(&files, json),
-        Some(Command::Follow { hosts, proxy, zone, rate, count }) => settled(&files).and_then(|settled| {
-            let identity = Identity { proxy, zone, rate };
-            run(async move { follow::print(&hosts, &identity, &settled.operator.follow.hold, count).await })
-        }),
-        Some(Command::Hooks { command }) => return hooks_command(command),
-        Some(Command::Relay) => settled(&files)
-            .and_then(|settled| run(async move { follow::pass_on(settled.operator.relay.as_ref()).await })),
-    };
+    let started =
+        match line.command {
+            None | Some(Command::Serve) => settled(&files).and_then(|settled| {
+                let posting = read(Occasion::Start)?;
+                run(conduct(posting, files, settled.operator))
+            }),
+            Some(Command::Check { files, json }) => return check(&files, json),
+            Some(Command::Follow { hosts, proxy, zone, rate, tags, count }) => {
+                settled(&files).and_then(|settled| {
+                    let identity = Identity { proxy, zone, rate, tags };
+                    run(async move {
+                        follow::print(&hosts, &identity, &settled.operator.follow.hold, count).await
+                    })
+                })
+            }
+            Some(Command::Hooks { command }) => return hooks_command(command),
+            Some(Command::Relay) => settled(&files).and_then(|settled| {
+                run(async move { follow::pass_on(settled.operator.relay.as_ref()).await })
+            }),
+        };
     match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(trouble) => {
--- a/crates/conductor/src/wire/heard.rs
+++ b/crates/conductor/src/wire/heard.rs
@@ -109,6 +109,7 @@
             rate: held(figure(("weight", from.weight))?, "weight", |rate| *rate <= limits::RATE_MOST)?,
             fresh: get(("fresh", from.fresh))?,
             anew: false,
+            tags: Default::default(),
         }),
         "ack" => Ok(Said::Acknowledged {
             proxy: from.proxy(terms)?,
@@ -178,7 +179,7 @@
             ),
             (
                 r#"{"t":"hello","proxy":17,"zone":"a","weight":21.5,"fresh":true}"#,
-                Said::Joined { proxy, zone, rate: 21.5, fresh: true, anew: false },
+                Said::Joined { proxy, zone, rate: 21.5, fresh: true, anew: false, tags: Default::default() },
             ),
             (
                 r#"{"t":"ack","proxy":17,"mark":905,"took_ms":310.4}"#,
--- a/crates/conductor/tests/channel.rs
+++ b/crates/conductor/tests/channel.rs
@@ -119,7 +119,7 @@
             retry_most: Time::from_ms(200),
             silent: Time::from_ms(1_500),
         };
-        let identity = Identity { proxy, zone: "a".into(), rate: 1.0 };
+        let identity = Identity { proxy, zone: "a".into(), rate: 1.0, tags: Vec::new() };
         let watcher = |subscriber: &Subscriber, acts: &[Act]| {
             let shut = acts.iter().any(|act| matches!(act, Act::Shut(_)));
             let applied = acts.contains(&Act::Applied);
--- a/crates/hooks/benches/engines.rs
+++ b/crates/hooks/benches/engines.rs
@@ -32,7 +32,7 @@
         lost: if k.is_multiple_of(5) { 20.0 } else { 1.0 },
         ..View::sample().nodes[0].clone()
     };
-    Shown(View { nodes: (0..nodes).map(node).collect(), ..View::sample() }.into())
+    Shown::from(View { nodes: (0..nodes).map(node).collect(), ..View::sample() })
 }
 
 /// Microseconds: the median, and what a hundredth is over.
--- a/crates/hooks/src/core/tests.rs
+++ b/crates/hooks/src/core/tests.rs
@@ -30,6 +30,7 @@
         zone: "a".into(),
         rate: f64::from(pick(k)) + 1.0,
         part: (pick(k + 2) % 3 != 0).then_some(u16::from(pick(k) % 3)),
+        tags: BTreeMap::new(),
     };
     View {
         parts: 3,
--- a/crates/hooks/src/core/view.rs
+++ b/crates/hooks/src/core/view.rs
@@ -71,8 +71,14 @@
     pub rate: f64,
     /// None before it is bound.
     pub part: Option<u16>,
+    /// What it says of itself when it joins, where its protocol has that.
+    #[serde(default)]
+    pub tags: BTreeMap<String, String>,
 }
 
+/// What proxies say of themselves when they join.
+pub type Tags = BTreeMap<u16, BTreeMap<String, String>>;
+
 pub fn number(tries: FurtherTries) -> u8 {
     match tries {
         FurtherTries::None => 0,
@@ -123,6 +129,7 @@
             zone: ["a", "b"][usize::from(k % 2)].into(),
             rate: 10.0 + f64::from(k),
             part: (k > 1).then_some(k % 2),
+            tags: BTreeMap::from([("tier".into(), ["gold", "plain"][usize::from(k % 2)].into())]),
         };
         View {
             now_ms: 1_700_000_000_000,
@@ -138,7 +145,13 @@
     }
 
     /// What the module shows, by names. Nodes without a name are left out.
-    pub fn of(look: &Look, mandate: &Mandate, words: &Words, names: &BTreeMap<NodeId, String>) -> View {
+    pub fn of(
+        look: &Look,
+        mandate: &Mandate,
+        words: &Words,
+        names: &BTreeMap<NodeId, String>,
+        tags: &Tags,
+    ) -> View {
         let zone = |zone: u16| words.zones.get(usize::from(zone)).cloned().unwrap_or_default();
         let node = |node: &oatpitch::interface::NodeLook| {
             Some(NodeView {
@@ -163,6 +176,7 @@
             zone: zone(proxy.zone.0),
             rate: proxy.rate,
             part: proxy.part,
+            tags: tags.get(&proxy.proxy.0).cloned().unwrap_or_default(),
         };
         let class = |class: usize| {
             let level = look.levels.get(class).copied();
--- a/crates/hooks/src/engine/mod.rs
+++ b/crates/hooks/src/engine/mod.rs
@@ -89,9 +89,16 @@
     Event(&'a Event),
 }
 
-/// A view as scripts see it, made once for all hooks of a round.
+/// A view as scripts see it, made once for all hooks of a round; names of nodes are shared with scripts.
 #[derive(Clone)]
-pub struct Shown(pub Arc<View>);
+pub struct Shown(pub Arc<View>, Arc<Vec<rhai::ImmutableString>>);
+
+impl From<View> for Shown {
+    fn from(view: View) -> Shown {
+        let names = view.nodes.iter().map(|node| node.name.as_str().into()).collect();
+        Shown(view.into(), Arc::new(names))
+    }
+}
 
 /// A loaded script, its store, and its limits.
 pub struct Program {
--- a/crates/hooks/src/engine/seen.rs
+++ b/crates/hooks/src/engine/seen.rs
@@ -9,11 +9,11 @@
 use crate::core::view::View;
 
 #[derive(Clone)]
-struct SeenView(Arc<View>);
+struct SeenView(Shown);
 
 /// One entry of a list in the view.
 #[derive(Clone)]
-struct Node(Arc<View>, usize);
+struct Node(Shown, usize);
 #[derive(Clone)]
 struct Class(Arc<View>, usize);
 #[derive(Clone)]
@@ -22,7 +22,7 @@
 struct Happened(Arc<Event>);
 
 pub fn view(shown: &Shown) -> Dynamic {
-    Dynamic::from(SeenView(shown.0.clone()))
+    Dynamic::from(SeenView(shown.clone()))
 }
 
 pub fn class(shown: &Shown, place: usize) -> Dynamic {
@@ -37,11 +37,29 @@
     Dynamic::from(Happened(Arc::new(event.clone())))
 }
 
+impl Node {
+    fn view(&self) -> &View {
+        &self.0.0
+    }
+}
+
+impl Class {
+    fn view(&self) -> &View {
+        &self.0
+    }
+}
+
+impl Proxy {
+    fn view(&self) -> &View {
+        &self.0
+    }
+}
+
 /// Getters of one type, each by its field.
 macro_rules! getters {
     ($engine:ident, $type:ty, $list:ident, $($name:literal => |$entry:ident| $value:expr),* $(,)?) => {
         $($engine.register_get($name, |seen: &mut $type| {
-            let $entry = &seen.0.$list[seen.1];
+            let $entry = &seen.view().$list[seen.1];
             $value
         });)*
     };
@@ -53,26 +71,26 @@
 
 pub fn register(engine: &mut Engine) {
     engine.register_type_with_name::<SeenView>("View");
-    engine.register_get("now_ms", |view: &mut SeenView| view.0.now_ms as i64);
-    engine.register_get("minute", |view: &mut SeenView| i64::from(view.0.minute));
-    engine.register_get("strain", |view: &mut SeenView| i64::from(view.0.strain));
-    engine.register_get("parts", |view: &mut SeenView| i64::from(view.0.parts));
-    engine.register_get("levels", |view: &mut SeenView| text(&view.0.levels));
+    engine.register_get("now_ms", |view: &mut SeenView| view.0.0.now_ms as i64);
+    engine.register_get("minute", |view: &mut SeenView| i64::from(view.0.0.minute));
+    engine.register_get("strain", |view: &mut SeenView| i64::from(view.0.0.strain));
+    engine.register_get("parts", |view: &mut SeenView| i64::from(view.0.0.parts));
+    engine.register_get("levels", |view: &mut SeenView| text(&view.0.0.levels));
     engine.register_get("zones", |view: &mut SeenView| -> Array {
-        view.0.zones.iter().map(|zone| Dynamic::from(zone.clone())).collect()
+        view.0.0.zones.iter().map(|zone| Dynamic::from(zone.clone())).collect()
     });
     engine.register_get("nodes", |view: &mut SeenView| -> Array {
-        (0..view.0.nodes.len()).map(|place| Dynamic::from(Node(view.0.clone(), place))).collect()
+        (0..view.0.0.nodes.len()).map(|place| Dynamic::from(Node(view.0.clone(), place))).collect()
     });
     engine.register_get("classes", |view: &mut SeenView| -> Array {
-        (0..view.0.classes.len()).map(|place| Dynamic::from(Class(view.0.clone(), place))).collect()
+        (0..view.0.0.classes.len()).map(|place| Dynamic::from(Class(view.0.0.clone(), place))).collect()
     });
     engine.register_get("proxies", |view: &mut SeenView| -> Array {
-        (0..view.0.proxies.len()).map(|place| Dynamic::from(Proxy(view.0.clone(), place))).collect()
+        (0..view.0.0.proxies.len()).map(|place| Dynamic::from(Proxy(view.0.0.clone(), place))).collect()
     });
     engine.register_type_with_name::<Node>("Node");
+    engine.register_get("name", |node: &mut Node| node.0.1[node.1].clone());
     getters!(engine, Node, nodes,
-        "name" => |node| text(&node.name),
         "zone" => |node| text(&node.zone),
         "kind" => |node| i64::from(node.kind),
         "part" => |node| i64::from(node.part),
@@ -101,6 +119,10 @@
         "zone" => |proxy| text(&proxy.zone),
         "rate" => |proxy| proxy.rate,
         "part" => |proxy| proxy.part.map_or(Dynamic::UNIT, |part| Dynamic::from(i64::from(part))),
+        "tags" => |proxy| {
+            let tag = |(key, value): (&String, &String)| (key.as_str().into(), Dynamic::from(value.clone()));
+            proxy.tags.iter().map(tag).collect::<rhai::Map>()
+        },
     );
     engine.register_type_with_name::<Happened>("Event");
     engine.register_get("kind", |event: &mut Happened| text(&event.0.kind));
--- a/crates/hooks/src/worker.rs
+++ b/crates/hooks/src/worker.rs
@@ -57,11 +57,11 @@
     for ask in asks {
         let told = match ask {
             Ask::Round(now, view) => {
-                let (settled, reports) = set.round(now, &Shown((*view).into()));
+                let (settled, reports) = set.round(now, &Shown::from(*view));
                 Told::Settled(settled, reports)
             }
             Ask::Renew(bounds, terms, named, view) => {
-                Told::Renewed(set.renew(bounds, terms, named, &Shown((*view).into())))
+                Told::Renewed(set.renew(bounds, terms, named, &Shown::from(*view)))
             }
             Ask::List(now) => {
                 let mut lines = set.list(now);
--- a/crates/hooks/tests/bad_hooks.rs
+++ b/crates/hooks/tests/bad_hooks.rs
@@ -32,7 +32,7 @@
 }
 
 fn sample() -> Shown {
-    Shown(View::sample().into())
+    Shown::from(View::sample())
 }
 
 fn load(source: &str) -> Result<Program, String> {
@@ -162,7 +162,7 @@
     let source =
         "fn shape(view, settings) { let s = #{}; for n in view.nodes { if n.warm { s[n.name] = 0.3; } } s }";
     let (mut set, _) = set(vec![named("squeeze", 1, source)]);
-    let (settled, _) = set.round(Time(1_000_000), &Shown(fleet(20, 4).into()));
+    let (settled, _) = set.round(Time(1_000_000), &Shown::from(fleet(20, 4)));
     for k in 0..20 {
         assert_eq!(settled.shares.get(&format!("s-{k}")).copied(), Some(0.3), "s-{k}");
     }
@@ -189,7 +189,7 @@
                   let s = #{}; for n in view.nodes { s[n.name] = if up { 2.0 } else { 0.5 }; } s }";
     let (mut set, reports) = set(vec![named("flutter", 1, source)]);
     assert!(reports.iter().all(|report| !report.bad), "{reports:?}");
-    let shown = Shown(fleet(400, 0).into());
+    let shown = Shown::from(fleet(400, 0));
     let (mut before, mut changed) = (Default::default(), Vec::new());
     for round in 0..1_200u64 {
         let (settled, _) = set.round(Time(1_000_000) + Time::from_ms(500 * round), &shown);
@@ -237,7 +237,7 @@
     // One that recovers.
     let source = "fn shape(view, settings) { if view.minute == 0 { throw \"midnight\"; } #{ \"s-0\": 0.5 } }";
     let (mut set, _) = set(vec![named("midnight", 1, source)]);
-    let midnight = Shown(View { minute: 0, ..View::sample() }.into());
+    let midnight = Shown::from(View { minute: 0, ..View::sample() });
     let mut said = Vec::new();
     for round in 0..40u64 {
         let shown = if round < 5 { midnight.clone() } else { sample() };
@@ -283,7 +283,7 @@
     all.push(named("good", 50, "fn shape(v, s) { #{ \"s-0\": 0.5 } }"));
     let (mut set, reports) = set(all);
     assert!(reports.iter().all(|report| !report.bad), "they behave when tried: {reports:?}");
-    let shown = Shown(View { minute: 5, ..View::sample() }.into());
+    let shown = Shown::from(View { minute: 5, ..View::sample() });
     let (mut told, mut longest, mut counted) = (Vec::new(), Duration::ZERO, 0);
     for round in 0..40u64 {
         let start = Instant::now();
--- a/crates/memory/src/heard.rs
+++ b/crates/memory/src/heard.rs
@@ -1,5 +1,6 @@
 //! What is heard, as small typed values: what any protocol's peers say, and what the roster lists.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 
 use oatpitch::interface::{ClassId, ProxyId, Standing, Time, ZoneId};
@@ -18,6 +19,8 @@
         fresh: bool,
         /// Its first whole table takes the place of all that others ever had it shut out.
         anew: bool,
+        /// What it says of itself, where its protocol has that; bounded there.
+        tags: BTreeMap<String, String>,
     },
     Acknowledged {
         proxy: ProxyId,
--- a/crates/memory/src/reducer.rs
+++ b/crates/memory/src/reducer.rs
@@ -56,6 +56,8 @@
     /// The list of an earlier life has been taken.
     started: bool,
     conns: BTreeMap<ConnId, (Party, SocketAddr)>,
+    /// What joined proxies said of themselves; those without anything have no entry.
+    tags: BTreeMap<ProxyId, BTreeMap<String, String>>,
     places: usize,
     /// Those that have not joined, and since when they are here.
     strangers: BTreeMap<ConnId, Time>,
@@ -85,6 +87,7 @@
             names: Names::default(),
             started: false,
             conns: BTreeMap::new(),
+            tags: BTreeMap::new(),
             places: start.places,
             strangers: BTreeMap::new(),
             asked,
@@ -168,6 +171,11 @@
         (look, names)
     }
 
+    /// What joined proxies said of themselves.
+    pub fn tags(&self) -> BTreeMap<u16, BTreeMap<String, String>> {
+        self.tags.iter().map(|(proxy, tags)| (proxy.0, tags.clone())).collect()
+    }
+
     /// A node by its name.
     pub fn node(&self, name: &str) -> Option<NodeId> {
         self.names.id(name)
@@ -277,7 +285,7 @@
                 self.counters.add("collectors", 1);
                 self.name(conn, Party::Collector);
             }
-            (Said::Joined { proxy, zone, rate, fresh, anew }, Party::Stranger) => {
+            (Said::Joined { proxy, zone, rate, fresh, anew, tags }, Party::Stranger) => {
                 self.counters.add("streams opened", 1);
                 if let Some(old) = self.ordered.streams.get(&proxy).map(|stream| stream.conn) {
                     // Dialled anew before the old end was seen: the old one is over.
@@ -286,6 +294,9 @@
                 }
                 self.name(conn, Party::Proxy(proxy));
                 self.ordered.join(proxy, conn, anew);
+                if !tags.is_empty() {
+                    self.tags.insert(proxy, tags);
+                }
                 self.balance.joined(now, proxy, zone, rate, fresh, &mut self.ordered);
             }
             (Said::Acknowledged { proxy, mark, took }, Party::Proxy(own)) if own == proxy => {
@@ -379,6 +390,7 @@
             must!(self.counters, own, "a proxy's connection is its stream");
             self.counters.add("streams ended", 1);
             self.ordered.leave(proxy);
+            self.tags.remove(&proxy);
             self.balance.left(self.now, proxy, &mut self.ordered);
         }
     }
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -269,7 +269,14 @@
 }
 
 fn hello(proxy: u16) -> Said {
-    Said::Joined { proxy: ProxyId(proxy), zone: ZoneId(proxy % 2), rate: 5.0, fresh: true, anew: false }
+    Said::Joined {
+        proxy: ProxyId(proxy),
+        zone: ZoneId(proxy % 2),
+        rate: 5.0,
+        fresh: true,
+        anew: false,
+        tags: Default::default(),
+    }
 }
 
 fn peer() -> SocketAddr {
