Hooks: cuts are told at a bounded rate and steps always; tags tried on loopback

Need: what a guard cuts must be told in the log at a bounded rate, and a flood of failures must not hide that a hook was put out or taken back.

Change: each kind of cut is told when it first comes and then once a minute; steps of a hook's life go past the room for faults in the log. A loopback test of tags.

--- a/crates/conductor/src/run/hooks.rs
+++ b/crates/conductor/src/run/hooks.rs
@@ -68,7 +68,7 @@
             }),
             Err(trouble) => {
                 let what = format!("{}: {trouble}; not taken", path.display());
-                unread.push(Report { hook: hook.name.clone(), what, bad: true });
+                unread.push(Report { hook: hook.name.clone(), what, bad: true, step: true });
             }
         }
     }
@@ -161,14 +161,15 @@
         vec![Input::Advised(Advice::default()), Input::Noted(vec![text])]
     }
 
-    /// What came back, as inputs and lines for the log at once.
-    pub fn hear(&mut self, now: Time, told: Told, memory: &Memory) -> (Vec<Input>, Vec<String>) {
+    /// What came back, as inputs and lines for the log at once, each with whether something is wrong.
+    pub fn hear(&mut self, now: Time, told: Told, memory: &Memory) -> (Vec<Input>, Vec<(bool, String)>) {
         let (settled, reports) = match told {
             Told::Settled(settled, reports) => (Some(settled), reports),
             Told::Renewed(reports) => (None, reports),
             Told::Listed(mut lines) => {
                 lines.push(format!("rounds skipped: {}", self.skipped));
-                return (Vec::new(), lines);
+                let lines = lines.into_iter().map(|line| (false, format!("hooks: {line}")));
+                return (Vec::new(), lines.collect());
             }
         };
         let mut inputs = Vec::new();
@@ -180,10 +181,11 @@
                 inputs.push(Input::Advised(advice));
             }
         }
-        if !reports.is_empty() {
-            inputs.push(Input::Noted(reports.iter().map(line).collect()));
+        let (steps, faults): (Vec<Report>, Vec<Report>) = reports.into_iter().partition(|report| report.step);
+        if !faults.is_empty() {
+            inputs.push(Input::Noted(faults.iter().map(line).collect()));
         }
-        (inputs, Vec::new())
+        (inputs, steps.iter().map(|step| (step.bad, line(step))).collect())
     }
 }
 
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -284,7 +284,13 @@
                 Some(told) = next_told(&mut hooked) => {
                     if let Some(hooked) = &mut hooked {
                         let (inputs, lines) = hooked.hear(turned, told, &memory);
-                        lines.iter().for_each(|line| info!(log, "hooks: {line}"));
+                        for (bad, line) in lines {
+                            if bad {
+                                warn!(log, "{line}");
+                            } else {
+                                info!(log, "{line}");
+                            }
+                        }
                         if inputs.is_empty() {
                             continue;
                         }
--- a/crates/conductor/tests/hooks.rs
+++ b/crates/conductor/tests/hooks.rs
@@ -189,6 +189,33 @@
     assert!(site.stop().contains("listening"));
 }
 
+/// Subscribers of the channel say what they are, and hooks go by it.
+#[test]
+fn hooks_see_the_tags_of_subscribers() {
+    let tagged = "fn shape(view, settings) { for p in view.proxies { if \"tier\" in p.tags && p.tags.tier == \"gold\" { return #{ \"s-1\": 0.5 }; } } }";
+    let publish = free_port();
+    let more = format!("}}\nchannel: {{\n\tlisten: \"{publish}\"\n}}\nhooks: {{");
+    let mut site = Site::start("tagged", &[("tagged", tagged)], &more);
+    let mut proxy = Proxy::join(site.listen, 1);
+    proxy.until("ten nodes", |proxy| proxy.table.len() == 10);
+    let follow = |tag: &str| {
+        let mut stream = TcpStream::connect(publish).expect("open");
+        let ask = format!("GET /v1/follow?proxy=2&zone=a&tag={tag} HTTP/1.1\r\nHost: x\r\n\r\n");
+        stream.write_all(ask.as_bytes()).expect("written");
+        stream.set_read_timeout(Some(LONGEST)).expect("set");
+        stream
+    };
+    let mut refused = String::new();
+    BufReader::new(follow("gold")).read_line(&mut refused).expect("an answer");
+    assert!(refused.starts_with("HTTP/1.1 400"), "{refused}");
+    let held = follow("tier:gold");
+    proxy.until("half of s-1", |proxy| proxy.table["s-1"] == 0.5);
+    drop(held);
+    // Its place is given up after a while, and its tags with it.
+    proxy.until("all of s-1", |proxy| proxy.table["s-1"] == 1.0);
+    site.stop();
+}
+
 /// SIGHUP replaces a hook while calls go on; a new version that can't be loaded leaves the old one in force.
 #[test]
 fn hooks_are_replaced_while_they_are_asked() {
--- a/crates/hooks/src/set.rs
+++ b/crates/hooks/src/set.rs
@@ -6,7 +6,7 @@
 
 use oatpitch::interface::Time;
 
-use crate::core::answer::{Cuts, HookId, Point};
+use crate::core::answer::{Cuts, HookId, Point, Rule};
 use crate::core::events;
 use crate::core::guard::{Bounds, Check, Guard, Settled, Subject, Wanted};
 use crate::core::standing::{Breaker, Place, Standing, Step, Terms};
@@ -32,6 +32,8 @@
     pub what: String,
     /// Something is wrong.
     pub bad: bool,
+    /// A step of its life, which comes seldom and is always told; the rest may come again and again.
+    pub step: bool,
 }
 
 struct Hook {
@@ -44,6 +46,8 @@
     spent: Duration,
 }
 
+/// How often one kind of cut is told.
+const CUTS_TOLD: Time = Time::from_ms(60_000);
 /// Proxies placed in one round; others are the module's.
 const PLACED_MOST: usize = 64;
 
@@ -53,15 +57,25 @@
     terms: Terms,
     breaker: Breaker,
     before: Option<Shown>,
-    /// What was cut since the start, and rounds.
+    /// What was cut since the start, when each kind of it was last told, and rounds.
     pub cuts: Cuts,
+    cuts_told: BTreeMap<(HookId, Point, Rule), Time>,
     pub rounds: u64,
 }
 
 impl Set {
     pub fn new(bounds: Bounds, terms: Terms) -> Set {
-        let (cuts, breaker) = Default::default();
-        Set { hooks: Vec::new(), guard: Guard::new(bounds), terms, breaker, before: None, cuts, rounds: 0 }
+        let (cuts, cuts_told, breaker) = Default::default();
+        Set {
+            hooks: Vec::new(),
+            guard: Guard::new(bounds),
+            terms,
+            breaker,
+            before: None,
+            cuts,
+            cuts_told,
+            rounds: 0,
+        }
     }
 
     /// Takes over other hooks, or the same anew. One that can't be loaded leaves the one of its name as it is, if
@@ -85,7 +99,7 @@
                             let verb = if before.is_some() { "replaced" } else { "taken" };
                             let points: Vec<String> = program.points().iter().map(Point::to_string).collect();
                             let what = format!("{verb}, at {}", points.join(", "));
-                            reports.push(Report { hook: named.name.clone(), what, bad: false });
+                            reports.push(Report { hook: named.name.clone(), what, bad: false, step: true });
                             self.hooks.push(Hook {
                                 named,
                                 program,
@@ -100,7 +114,7 @@
                             let stays =
                                 if before.is_some() { "; the one before stays" } else { "; not taken" };
                             let what = format!("{}{place}: {what}{stays}", named.place);
-                            reports.push(Report { hook: named.name.clone(), what, bad: true });
+                            reports.push(Report { hook: named.name.clone(), what, bad: true, step: true });
                             self.hooks.extend(before);
                         }
                     }
@@ -108,8 +122,16 @@
             }
         }
         for name in old.into_keys() {
-            reports.push(Report { hook: name, what: "dropped, and its store with it".into(), bad: false });
+            reports.push(Report {
+                hook: name,
+                what: "dropped, and its store with it".into(),
+                bad: false,
+                step: true,
+            });
         }
+        // Places in the order may be others' now.
+        self.cuts.clear();
+        self.cuts_told.clear();
         self.hooks
             .sort_by(|one, two| (one.named.order, &one.named.name).cmp(&(two.named.order, &two.named.name)));
         reports
@@ -124,7 +146,7 @@
                 Place::Out(until) => format!("out for {:.1} s", (until - now).seconds()),
             };
             let points: Vec<String> = hook.program.points().iter().map(Point::to_string).collect();
-            let own = |((id, ..), _): &(&(HookId, Point, crate::core::answer::Rule), &u64)| id.0 == k as u16;
+            let own = |((id, ..), _): &(&(HookId, Point, Rule), &u64)| id.0 == k as u16;
             let cuts: u64 = self.cuts.iter().filter(own).map(|(_, count)| count).sum();
             let Hook { named, calls, failures, .. } = hook;
             let points = points.join(",");
@@ -208,7 +230,7 @@
                     hook.failures += 1;
                     let step = hook.standing.failed(now, &cause, &self.terms);
                     let what = format!("failed at {}:{cause}", hook.named.place);
-                    reports.push(Report { hook: hook.named.name.clone(), what, bad: true });
+                    reports.push(Report { hook: hook.named.name.clone(), what, bad: true, step: false });
                     step
                 }
                 None => {
@@ -229,8 +251,24 @@
         }
         self.before = Some(shown.clone());
         let settled = self.guard.settle(now, view, &wanted, &mut self.cuts);
+        reports.extend(self.cut(now));
         (settled, reports)
     }
+
+    /// Each kind of cut is told when it first comes, and then once in a while with its count.
+    fn cut(&mut self, now: Time) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for (kind, count) in &self.cuts {
+            let due = self.cuts_told.get(kind).is_none_or(|at| now >= *at + CUTS_TOLD);
+            let (HookId(place), point, rule) = *kind;
+            if let Some(hook) = self.hooks.get(usize::from(place)).filter(|_| due) {
+                self.cuts_told.insert(*kind, now);
+                let what = format!("cut at {point}, {rule}: {count} so far");
+                reports.push(Report { hook: hook.named.name.clone(), what, bad: true, step: false });
+            }
+        }
+        reports
+    }
 }
 
 fn told(hook: &str, step: &Step) -> Report {
@@ -242,5 +280,5 @@
         Step::Tried => ("tried again".into(), false),
         Step::TakenBack => ("taken back".into(), false),
     };
-    Report { hook: hook.into(), what, bad }
+    Report { hook: hook.into(), what, bad, step: true }
 }
--- a/crates/hooks/tests/bad_hooks.rs
+++ b/crates/hooks/tests/bad_hooks.rs
@@ -144,7 +144,11 @@
     ] {
         let (mut set, reports) = set(vec![named("bad", 1, &source)]);
         assert!(reports.iter().all(|report| !report.bad), "{source}: {reports:?}");
-        let (settled, _) = set.round(Time(1_000_000), &sample());
+        let (settled, told) = set.round(Time(1_000_000), &sample());
+        assert!(
+            told.iter()
+                .any(|report| report.hook == "bad" && report.what.contains(&format!("{point}, {rule}: ")))
+        );
         let cut: Vec<_> = set.cuts.keys().map(|(hook, point, rule)| (hook.0, *point, *rule)).collect();
         assert!(cut.contains(&(0, point, rule)), "{source}: {cut:?}");
         assert_eq!(settled.shares.get("s-0").copied(), share, "{source}: {settled:?}");
@@ -190,19 +194,21 @@
     let (mut set, reports) = set(vec![named("flutter", 1, source)]);
     assert!(reports.iter().all(|report| !report.bad), "{reports:?}");
     let shown = Shown::from(fleet(400, 0));
-    let (mut before, mut changed) = (Default::default(), Vec::new());
+    let (mut before, mut changed, mut told) = (Default::default(), Vec::new(), 0);
     for round in 0..1_200u64 {
-        let (settled, _) = set.round(Time(1_000_000) + Time::from_ms(500 * round), &shown);
+        let (settled, reports) = set.round(Time(1_000_000) + Time::from_ms(500 * round), &shown);
         let one = |name: &str| settled.shares.get(name).copied().unwrap_or(1.0);
         let old: &std::collections::BTreeMap<String, f64> = &before;
         let other = |k: &usize| one(&format!("s-{k}")) != old.get(&format!("s-{k}")).copied().unwrap_or(1.0);
         changed.push((0..400).filter(other).count());
         before = settled.shares;
+        told += reports.iter().filter(|report| report.what.starts_with("cut at ")).count();
     }
     assert!(changed.iter().all(|lines| *lines <= 50), "{changed:?}");
     // At 128 s for a turn, 400 nodes come to hardly more than three lines a second.
     let late: usize = changed[600..].iter().sum();
     assert!(late < 400 * 6, "{late} lines in 300 s");
+    assert!((2..=12).contains(&told), "told {told} times in 600 s");
     assert!(set.cuts.iter().any(|((_, _, rule), count)| *rule == Rule::Queue && *count > 10_000));
 }
 
