--- a/crates/hooks/src/core/tests.rs
+++ b/crates/hooks/src/core/tests.rs
@@ -59,36 +59,7 @@
 }
 
 fn mandate() -> Mandate {
-    let terms = |repeat| ExchangeTerms {
-        target: Time::from_ms(1_000),
-        cut_off: Time::from_ms(4_000),
-        gain: 1.0,
-        repeat,
-    };
-    Mandate {
-        exchanges: vec![terms(Repeat::Safe), terms(Repeat::Never)],
-        zones: 2,
-        roster_asked: false,
-        ask_within: Time::default(),
-        sums_period: Time::from_ms(1_000),
-        levels: LevelKind::Share,
-        slices: 0,
-        channel_pace: 5_000.0,
-        message_head: 6.0,
-        backlog: 7_000.0,
-        messages_most: 0,
-        messages_span: Time::default(),
-        way: Time::from_ms(200),
-        way_longest: Time::from_ms(600),
-        strikes: 5,
-        proxies: 20,
-        conns_least: 100.0,
-        bare: Time::from_ms(3_000),
-        grace: Time::from_ms(3_000),
-        cold_share: 0.3,
-        warm_up: Time::from_ms(12_000),
-        fall_multiple: 3.0,
-    }
+    oatpitch_standins::mandate::mandate(20, 100.0)
 }
 
 /// The plain model: each rule said once, as slowly as it likes.
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -226,36 +226,7 @@
 // ---- The reducer ----
 
 fn mandate(asked: bool) -> Mandate {
-    let terms = |target, repeat| ExchangeTerms {
-        target: Time::from_ms(target),
-        cut_off: Time::from_ms(4_000),
-        gain: 1.0,
-        repeat,
-    };
-    Mandate {
-        exchanges: vec![terms(1_000, Repeat::Safe), terms(400, Repeat::Never)],
-        zones: 2,
-        roster_asked: asked,
-        ask_within: Time::from_ms(10_000),
-        sums_period: Time::from_ms(1_000),
-        levels: LevelKind::Share,
-        slices: 0,
-        channel_pace: 5_000.0,
-        message_head: 6.0,
-        backlog: 7_000.0,
-        messages_most: 0,
-        messages_span: Time::default(),
-        way: Time::from_ms(200),
-        way_longest: Time::from_ms(600),
-        strikes: 5,
-        proxies: PROXIES.into(),
-        conns_least: 100.0,
-        bare: Time::from_ms(3_000),
-        grace: Time::from_ms(3_000),
-        cold_share: 0.3,
-        warm_up: Time::from_ms(12_000),
-        fall_multiple: 3.0,
-    }
+    Mandate { roster_asked: asked, ..oatpitch_standins::mandate::mandate(PROXIES.into(), 100.0) }
 }
 
 fn entry(k: u8, standing: Standing) -> Entry {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod conductor;
 pub mod discovery;
 pub mod link;
+pub mod mandate;
