Newcomers keep their place for half a second, and followers are looked through only after orders

Cause: with over 64 connections coming at once, as after a restart, honest ones were ended as strangers before their first message could come; and every turn went through all followers, whether anything was ordered or not.

Change: a stranger makes room only once it is half a second old, unless all places are taken; the look through followers waits for orders.

Result: 400 that come at once are all served, by a test.

--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -167,6 +167,8 @@
     bindings: BTreeMap<Binding, FeedId>,
     given: u32,
     touched: BTreeMap<FeedId, Touched>,
+    /// Something was ordered in this turn: followers are looked through only then.
+    ordered: bool,
     followers: BTreeMap<ConnId, Follower>,
     proxies: BTreeMap<ProxyId, ConnId>,
     streams: BTreeMap<StreamId, ConnId>,
@@ -204,6 +206,7 @@
             bindings: BTreeMap::new(),
             given: 0,
             touched: BTreeMap::new(),
+            ordered: false,
             followers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             streams: BTreeMap::new(),
@@ -506,6 +509,7 @@
     /// One message of a turn, for those of its connections that follow here. All of a turn are followed by
     /// [`Publisher::close`].
     pub fn order(&mut self, to: &[ConnId], message: &Message) {
+        self.ordered = true;
         if message.binding.iter().all(Option::is_none) {
             // Not bound yet: only what must not wait concerns them.
             let out: Vec<Name> = message.parts.iter().flat_map(|part| part.out.iter().cloned()).collect();
@@ -616,7 +620,8 @@
             feed.keep(Kept { base, revision, cost, out, bytes }, &self.limits);
             feed.forget_out();
         }
-        for follower in self.followers.values() {
+        let ordered = std::mem::take(&mut self.ordered);
+        for follower in self.followers.values().filter(|_| ordered) {
             let behind = follower
                 .feed
                 .and_then(|id| self.feeds.get(&id))
--- a/crates/channel/src/net/server.rs
+++ b/crates/channel/src/net/server.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body::{Body, Frame};
@@ -53,6 +53,8 @@
 /// Tags of one subscriber, and bytes of a tag's name and of its value.
 const TAGS_MOST: usize = 8;
 const TAG_LONGEST: usize = 64;
+/// So long a newcomer keeps its place: thousands come again at once after a restart.
+const NEWCOMER: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(50);
 /// Bytes that the system holds for one stream: a withdrawal can't overtake what waits there, so that it is kept
 /// to a few whole tables. Connections that wait to be taken, as thousands come again after a restart.
@@ -464,7 +466,7 @@
 /// Takes connections for good. Of too many, those that never asked for anything make room, the oldest first.
 pub async fn serve(server: Server, listener: TcpListener) {
     spawn_local(server.clone().tick());
-    let mut strangers: VecDeque<(AbortHandle, Rc<Cell<bool>>)> = VecDeque::new();
+    let mut strangers: VecDeque<(AbortHandle, Rc<Cell<bool>>, Instant)> = VecDeque::new();
     let open = Rc::new(Cell::new(0usize));
     loop {
         let Ok((socket, peer)) = listener.accept().await else {
@@ -472,9 +474,13 @@
             continue;
         };
         let most = server.0.borrow().terms.subscribers.saturating_mul(2).saturating_add(STRANGERS);
-        strangers.retain(|(task, known)| !known.get() && !task.is_finished());
-        while strangers.len() >= STRANGERS || open.get() >= most {
-            let Some((oldest, _)) = strangers.pop_front() else { break };
+        strangers.retain(|(task, known, _)| !known.get() && !task.is_finished());
+        // One whose first message can be on its way keeps its place, however many come at once.
+        let old = |strangers: &VecDeque<(_, _, Instant)>| {
+            strangers.front().is_some_and(|(_, _, since)| since.elapsed() >= NEWCOMER)
+        };
+        while (strangers.len() >= STRANGERS && old(&strangers)) || open.get() >= most {
+            let Some((oldest, ..)) = strangers.pop_front() else { break };
             oldest.abort();
             server.0.borrow_mut().publisher.counters.add("strangers ended for room", 1);
             tokio::task::yield_now().await;
@@ -488,7 +494,7 @@
         let front = Front { server: server.clone(), peer, known: known.clone() };
         let task =
             spawn_local(Conversation { served: converse(front, socket), _counted: Counted::of(&open) });
-        strangers.push_back((task.abort_handle(), known));
+        strangers.push_back((task.abort_handle(), known, Instant::now()));
     }
 }
 
--- a/crates/conductor/tests/channel.rs
+++ b/crates/conductor/tests/channel.rs
@@ -422,6 +422,28 @@
     drop((silent, half));
 }
 
+/// Guards against honest newcomers being taken for strangers where hundreds come at once, as after a restart.
+#[test]
+fn hundreds_that_come_at_once_are_all_served() {
+    let site = Site::start("storm", "silent: 30s");
+    let publish = site.publish;
+    let all: Vec<_> =
+        (0..400).map(|k| TcpStream::connect(publish).map(|stream| (k, stream)).expect("open")).collect();
+    let served = all.into_iter().map(|(k, mut stream)| {
+        let ask = format!("GET /v1/follow?proxy={k}&zone=a HTTP/1.1\r\nHost: x\r\n\r\n");
+        stream.write_all(ask.as_bytes()).expect("written");
+        stream
+    });
+    let served: Vec<TcpStream> = served.collect();
+    for stream in &served {
+        stream.set_read_timeout(Some(LONGEST)).expect("set");
+        let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+        assert!(lines.any(|line| line.contains("\"kind\":\"snapshot\"")), "one was not served");
+    }
+    let state = ask(publish, &get("/v1/state"), |_| true).join("");
+    assert!(state.contains("\"followers\":400") && !state.contains("strangers ended"), "{state}");
+}
+
 /// Two streams of one subscriber: the later counts, the earlier is told so.
 #[test]
 fn of_two_streams_of_one_subscriber_the_later_counts() {
