--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -235,10 +235,6 @@
         self.limits = limits;
     }
 
-    pub fn class(&self, name: &str) -> bool {
-        self.names.iter().any(|known| **known == *name)
-    }
-
     pub fn follows(&self, conn: ConnId) -> bool {
         self.followers.contains_key(&conn)
     }
--- a/crates/conductor/src/run/hooks.rs
+++ b/crates/conductor/src/run/hooks.rs
@@ -15,6 +15,7 @@
 use oatpitch_hooks::worker::{Ask, Told, Worker};
 use oatpitch_memory::Input;
 use oatpitch_memory::reducer::Memory;
+use oatpitch_operator::Text;
 use oatpitch_operator::records::hooks::{Hook, Hooks as Record};
 use tokio::sync::mpsc;
 
@@ -191,8 +192,8 @@
 
 // ---- Without a conductor ----
 
-fn load(path: &Path, settings: &[String], limits: Limits) -> Result<(Program, String)> {
-    let source = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+/// What `--set` says, by key.
+fn set_by(settings: &[String]) -> Result<serde_json::Value> {
     let mut set = serde_json::Map::new();
     for pair in settings {
         let (key, value) =
@@ -201,28 +202,32 @@
         let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
         set.insert(key.into(), value);
     }
-    let settings = serde_json::Value::Object(set);
-    match Program::load(&source, limits, &settings, &Shown::from(View::sample())) {
+    Ok(serde_json::Value::Object(set))
+}
+
+fn load(path: &Path, settings: &serde_json::Value, limits: Limits) -> Result<(Program, String)> {
+    let source = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    match Program::load(&source, limits, settings, &Shown::from(View::sample())) {
         Ok(program) => Ok((program, source)),
-        Err(trouble) => {
-            let place = if trouble.line > 0 {
-                format!(":{}:{}", trouble.line, trouble.column)
-            } else {
-                String::new()
-            };
-            bail!("{}{place}: {}", path.display(), trouble.what)
-        }
+        Err(trouble) => bail!("{}{}: {}", path.display(), trouble.place(), trouble.what),
     }
 }
 
-/// Limits as they are where operators say nothing.
-pub fn usual() -> Limits {
-    Limits { operations: 200_000, wall: Duration::from_millis(20), memory: 256 << 10 }
+/// What holds for one hook where operators say nothing but its name, as their records have it.
+fn usual() -> Result<Record> {
+    let source = r#"hooks: each: [{name: "tried", script: "tried"}]"#.to_string();
+    let settled = oatpitch_operator::check(&[Text { name: "usual".into(), source }])?;
+    settled.operator.hooks.context("hooks: no defaults")
+}
+
+/// The limits of that hook.
+fn usual_limits(record: &Record) -> Result<Limits> {
+    record.each.first().map(limits).context("hooks.each: no defaults")
 }
 
 /// Loads, checks and tries a script.
 pub fn check(path: &Path, settings: &[String]) -> Result<()> {
-    let (program, _) = load(path, settings, usual())?;
+    let (program, _) = load(path, &set_by(settings)?, usual_limits(&usual()?)?)?;
     let points: Vec<String> = program.points().iter().map(Point::to_string).collect();
     println!("{}: sound, at {}", path.display(), points.join(", "));
     for (name, setting) in program.declared() {
@@ -234,7 +239,9 @@
 
 /// Prints what a script makes of a recorded view: what goes in, what is settled, and what the guards cut.
 pub fn run(path: &Path, settings: &[String], input: Option<&Path>) -> Result<()> {
-    let (_, source) = load(path, settings, usual())?;
+    let (record, settings) = (usual()?, set_by(settings)?);
+    let limits = usual_limits(&record)?;
+    let (_, source) = load(path, &settings, limits.clone())?;
     let view = match input {
         Some(input) => {
             let text = std::fs::read(input).with_context(|| input.display().to_string())?;
@@ -242,24 +249,12 @@
         }
         None => View::sample(),
     };
-    let mut set_to = serde_json::Map::new();
-    for (key, value) in settings.iter().filter_map(|pair| pair.split_once('=')) {
-        set_to.insert(key.into(), serde_json::from_str(value).unwrap_or_else(|_| value.into()));
-    }
     let name = path.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
-    let bounds = Bounds { least: 0.25, most: 2.0, let_in: 0.1, lines: 50, hold: Time::from_ms(2_000) };
-    let terms = Terms {
-        failures: 3,
-        span: Time::from_ms(60_000),
-        wait: Time::from_ms(10_000),
-        wait_most: Time::from_ms(600_000),
-        good: 20,
-        round: Time::from_ms(1_000),
-    };
+    // Nobody waits for a round here: what its calls may take binds.
+    let (bounds, terms) = (bounds(&record), Terms { round: Time::from_ms(1_000), ..terms(&record) });
     let mut set = Set::new(bounds.clone(), terms.clone());
     let place = path.display().to_string();
-    let named =
-        Named { name, place, source, order: 0, limits: usual(), settings: serde_json::Value::Object(set_to) };
+    let named = Named { name, place, source, order: 0, limits, settings };
     let shown = Shown::from(view);
     for report in set.renew(bounds, terms, vec![named], &shown) {
         println!("{}", line(&report));
--- a/crates/hooks/src/engine/mod.rs
+++ b/crates/hooks/src/engine/mod.rs
@@ -51,6 +51,13 @@
     pub what: String,
 }
 
+impl Trouble {
+    /// As it follows a file's name, `:LINE:COLUMN`; nothing where there is no place.
+    pub fn place(&self) -> String {
+        if self.line > 0 { format!(":{}:{}", self.line, self.column) } else { String::new() }
+    }
+}
+
 impl std::fmt::Display for Trouble {
     fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         if self.line > 0 {
--- a/crates/hooks/src/set.rs
+++ b/crates/hooks/src/set.rs
@@ -11,7 +11,7 @@
 use crate::core::guard::{Bounds, Check, Guard, Settled, Subject, Wanted};
 use crate::core::standing::{Breaker, Place, Standing, Step, Terms};
 use crate::core::view::{NodeView, View};
-use crate::engine::{About, Limits, Program, Shown, Trouble};
+use crate::engine::{About, Limits, Program, Shown};
 
 /// One hook as operators set it.
 #[derive(Clone, Debug, PartialEq)]
@@ -109,11 +109,10 @@
                                 spent: Duration::ZERO,
                             });
                         }
-                        Err(Trouble { line, column, what }) => {
-                            let place = if line > 0 { format!(":{line}:{column}") } else { String::new() };
+                        Err(trouble) => {
                             let stays =
                                 if before.is_some() { "; the one before stays" } else { "; not taken" };
-                            let what = format!("{}{place}: {what}{stays}", named.place);
+                            let what = format!("{}{}: {}{stays}", named.place, trouble.place(), trouble.what);
                             reports.push(Report { hook: named.name.clone(), what, bad: true, step: true });
                             self.hooks.extend(before);
                         }
