A cold node gets more while its own load reports show room

Balance::weight bounds a cold node's share by FALL_SHARE[strain] (0.24 where the fleet is tense, 0.1 where it is short), sized for what nobody can know; what the nodes say of their own load came with every sum and was dropped in wire/heard.rs and wirehost.

Change: Met carries the load report; where a cold node's shows room, its share may grow to what would bring it to 0.7 of its cores, never beyond 0.6 of what pushes it over, told anew once an order can show in the sums. A spoilt report spoils its message. acknowledged, entered, counted and settled move beside the book and the views they are part of.

--- a/crates/conductor/benches/turns.rs
+++ b/crates/conductor/benches/turns.rs
@@ -109,7 +109,7 @@
         let node = format!("s-{:08x}", (turn * 17 + k) % nodes);
         let lost = if k.is_multiple_of(10) { 4 } else { 0 };
         let (tries, mean, span) = (20, Time::from_ms(40), Time::from_ms(1_000));
-        Input::Said(ConnId(1_000), Said::Met { zone: ZoneId(0), node, tries, lost, mean, span })
+        Input::Said(ConnId(1_000), Said::Met { zone: ZoneId(0), node, tries, lost, mean, span, load: None })
     };
     (0..20).map(sum).chain([Input::Bell]).collect()
 }
--- a/crates/conductor/src/wire/heard.rs
+++ b/crates/conductor/src/wire/heard.rs
@@ -1,6 +1,6 @@
 //! What proxies, collectors and strangers say, decoded once from a line into a small typed value.
 
-use oatpitch::interface::{ClassId, ProxyId, Time, ZoneId};
+use oatpitch::interface::{ClassId, Load, ProxyId, Time, ZoneId};
 use oatpitch_memory::heard::{Said, Unusable};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -36,6 +36,16 @@
     failed: Option<&'a RawValue>,
     mean_ms: Option<&'a RawValue>,
     span_ms: Option<&'a RawValue>,
+    load: Option<&'a RawValue>,
+}
+
+/// A load report, by the names of either page.
+#[derive(Deserialize)]
+struct Report<'a> {
+    #[serde(borrow, alias = "util")]
+    cpu: Option<&'a RawValue>,
+    #[serde(borrow, alias = "queue")]
+    waiting: Option<&'a RawValue>,
 }
 
 type Field<'a> = (&'static str, Option<&'a RawValue>);
@@ -78,6 +88,17 @@
         Ok(ProxyId(held(get(("proxy", self.proxy))?, "proxy", known)?))
     }
 
+    /// Nothing where there is none, or it does not tell the share of cores in use.
+    fn load(&self) -> Read<Option<Load>> {
+        if self.load.is_none_or(|load| load.get() == "null") {
+            return Ok(None);
+        }
+        let report: Report = get(("load", self.load))?;
+        let told = |value: Option<_>| value.map(|value| figure(("load", Some(value)))).transpose();
+        let (busy, waiting) = (told(report.cpu)?, told(report.waiting)?.unwrap_or_default());
+        Ok(busy.map(|busy| Load { busy, waiting }))
+    }
+
     fn span(&self) -> Read<Time> {
         let span = from_ms(figure(("span_ms", self.span_ms))?);
         held(span, "span_ms", |span| Time::default() < *span && *span <= limits::SPAN_LONGEST)
@@ -131,6 +152,7 @@
                 lost,
                 mean,
                 span,
+                load: from.load()?,
             })
         }
         // More may be lost than came within the same span: what is lost came earlier.
@@ -175,6 +197,7 @@
                     lost: 3,
                     mean: Time(417),
                     span: Time(10_000),
+                    load: Some(Load { busy: 0.61, waiting: 0.0 }),
                 },
             ),
             (
@@ -257,6 +280,21 @@
         ] {
             assert_eq!(decode(line.as_bytes(), &terms()), Err(Unusable::Field(cause)), "{line}");
         }
+        // A load report is read by the names of either page; what is spoilt in it spoils the message.
+        let load = |load: &str| {
+            decode(outcomes.replace("\"t\"", &format!("\"load\":{load},\"t\"")).as_bytes(), &terms())
+        };
+        let told = |load: Read<Said>| match load {
+            Ok(Said::Met { load, .. }) => Ok(load),
+            other => Err(format!("{other:?}")),
+        };
+        let expected = Some(Load { busy: 0.5, waiting: 3.0 });
+        assert_eq!(told(load(r#"{"cpu":0.5,"waiting":3}"#)), Ok(expected));
+        assert_eq!(told(load(r#"{"queue":3,"inflight":7,"util":0.5}"#)), Ok(expected));
+        assert_eq!((told(load("null")), told(load(r#"{"inflight":7}"#))), (Ok(None), Ok(None)));
+        for bad in ["7", "[]", r#"{"cpu":-1}"#, r#"{"cpu":"x"}"#, r#"{"cpu":1,"waiting":1e999}"#] {
+            assert_eq!(load(bad), Err(Unusable::Field("load")), "{bad}");
+        }
         let none = outcomes.replace("\"failed\":1", "\"failed\":2").replace("4000", "null");
         assert!(decode(none.as_bytes(), &terms()).is_ok(), "without a good try there is no mean");
     }
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use anyhow::{Context, Result, anyhow, bail};
-use oatpitch::interface::{ExchangeTerms, LevelKind, Mandate, Reach, Repeat, Time};
+use oatpitch::interface::{ExchangeTerms, LevelKind, Load, Mandate, Reach, Repeat, Time};
 use serde_json::Value;
 
 /// Settings count microseconds, the module tenths of a millisecond.
@@ -15,8 +15,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Charge {
     pub mandate: Mandate,
-    /// How many values a load report has.
-    pub columns: usize,
+    /// What the values of a load report are, in order.
+    pub columns: Vec<Column>,
     /// Turns come at most this often.
     pub tick: Time,
     /// Zones and classes by name, in the order of their ids.
@@ -24,6 +24,34 @@
     pub classes: Vec<String>,
 }
 
+/// One value of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Column {
+    Busy,
+    Waiting,
+    /// Nobody reads it.
+    Other,
+}
+
+impl Column {
+    fn named(name: &str) -> Column {
+        match name {
+            "cpu" | "util" => Column::Busy,
+            "waiting" | "queue" => Column::Waiting,
+            _ => Column::Other,
+        }
+    }
+
+    /// What a report's values come to; nothing where the share of cores in use is not among them.
+    pub fn load(columns: &[Column], values: &[f64]) -> Option<Load> {
+        let value =
+            |wanted| columns.iter().zip(values).find(|(column, _)| **column == wanted).map(|it| *it.1);
+        let sound = |value: &f64| value.is_finite() && *value >= 0.0;
+        let busy = value(Column::Busy).filter(sound)?;
+        Some(Load { busy, waiting: value(Column::Waiting).filter(sound).unwrap_or_default() })
+    }
+}
+
 struct Pairs(BTreeMap<String, String>);
 
 impl Pairs {
@@ -140,7 +168,7 @@
     }
     let asked = at.choice("discovery", &[("push", false), ("ask", true)])?;
     let reported = at.choice("report.how", &[("piggyback", true), ("pull", true), ("silent", false)])?;
-    let columns = if reported { at.list("report.columns")?.count() } else { 0 };
+    let columns = if reported { at.list("report.columns")?.map(Column::named).collect() } else { Vec::new() };
     let mandate = Mandate {
         exchanges: exchanges(at)?,
         zones,
@@ -256,8 +284,13 @@
         let (nested, pairs) =
             (from_json(&nested).expect("nested"), from_pairs(pairs.as_bytes()).expect("pairs"));
         assert_eq!(format!("{:?}", nested.mandate), format!("{:?}", pairs.mandate));
-        assert_eq!((nested.tick, nested.columns), (Time(50), 2));
-        assert_eq!((pairs.tick, pairs.columns), (Time(50), 2));
+        let columns = vec![Column::Busy, Column::Waiting];
+        assert_eq!((nested.tick, &nested.columns), (Time(50), &columns));
+        assert_eq!((pairs.tick, &pairs.columns), (Time(50), &columns));
+        let load = |values: &[f64]| Column::load(&columns, values);
+        assert_eq!(load(&[0.5, 2.0]), Some(Load { busy: 0.5, waiting: 2.0 }));
+        assert_eq!(load(&[0.5, f64::NAN]), Some(Load { busy: 0.5, waiting: 0.0 }));
+        assert_eq!((load(&[f64::INFINITY, 2.0]), load(&[])), (None, None));
         assert_eq!(nested.mandate.exchanges[1].cut_off, Time::from_ms(1_000));
         // Only what is written keeps its spaces.
         assert_eq!((nested.zones[0].as_str(), pairs.zones[0].as_str()), ("north side", "north_side"));
--- a/crates/memory/src/heard.rs
+++ b/crates/memory/src/heard.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 
-use oatpitch::interface::{ClassId, ProxyId, Standing, Time, ZoneId};
+use oatpitch::interface::{ClassId, Load, ProxyId, Standing, Time, ZoneId};
 
 /// What a peer says. A node is named as the roster names it.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +34,7 @@
         lost: u32,
         mean: Time,
         span: Time,
+        load: Option<Load>,
     },
     Asked {
         proxy: ProxyId,
--- a/crates/memory/src/reducer.rs
+++ b/crates/memory/src/reducer.rs
@@ -318,11 +318,11 @@
                     None => self.counters.add("marks never ordered", 1),
                 }
             }
-            (Said::Met { node, zone, tries, lost, mean, span }, Party::Collector) => {
+            (Said::Met { node, zone, tries, lost, mean, span, load }, Party::Collector) => {
                 match self.names.id(&node) {
                     Some(node) => {
                         self.counters.add("sums heard", 1);
-                        let met = Met { node, zone, span, tries, lost, mean };
+                        let met = Met { node, zone, span, tries, lost, mean, load };
                         self.balance.met(now, &met);
                     }
                     None => self.counters.add("sums of nodes never listed", 1),
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -425,6 +425,7 @@
         lost: 0,
         mean: Time(1),
         span: Time(1),
+        load: None,
     };
     let collector = Said::Collector { zone: ZoneId(0) };
     let spoilt = |conn| Input::Spoilt(ConnId(conn), Unusable::Field("tries"));
@@ -711,7 +712,10 @@
             6 => Input::Said(conn, Said::Acknowledged { proxy, mark: how.into(), took: time }),
             7 | 8 => {
                 let node = format!("s-{}", which % 10);
-                Input::Said(conn, Said::Met { zone, node, tries, lost, mean: time, span: Time(10_000) })
+                Input::Said(
+                    conn,
+                    Said::Met { zone, node, tries, lost, mean: time, span: Time(10_000), load: None },
+                )
             }
             9 => Input::Said(conn, Said::Asked { proxy, class, exchanges: tries, lost, span: time }),
             10 => Input::Said(conn, Said::Probe),
--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -5,7 +5,8 @@
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::{Buf, TryGetError};
 use oatpitch::Balance;
-use oatpitch::interface::{Asked, ClassId, Listing, Met, NodeId, ProxyId, Standing, Time, ZoneId};
+use oatpitch::interface::{Asked, ClassId, Listing, Load, Met, NodeId, ProxyId, Standing, Time, ZoneId};
+use oatpitch_mandate::Column;
 
 use crate::US;
 use crate::reply::{Pen, Reply};
@@ -26,7 +27,7 @@
     balance: Balance,
     classes: u16,
     zones: u16,
-    columns: usize,
+    columns: Vec<Column>,
 }
 
 /// The fields of a record that are still to be read.
@@ -80,14 +81,14 @@
         Ok(taken)
     }
 
-    /// Passes over a load report: nothing, or as many values as the settings name.
-    fn report(&mut self, columns: usize) -> Result<()> {
+    /// A load report: nothing, or as many values as the settings name.
+    fn report(&mut self, columns: &[Column]) -> Result<Option<Load>> {
         let count = usize::from(self.u8()?);
-        if count != 0 && count != columns {
-            bail!("a load report of {count} values where {columns} are due");
+        if count != 0 && count != columns.len() {
+            bail!("a load report of {count} values where {} are due", columns.len());
         }
-        (0..count).try_for_each(|_| self.f32().map(|_| ()))?;
-        Ok(())
+        let values: Vec<f64> = (0..count).map(|_| Ok(f64::from(self.f32()?))).collect::<Result<_>>()?;
+        Ok(Column::load(columns, &values))
     }
 
     fn end(&self) -> Result<()> {
@@ -279,15 +280,15 @@
 fn digest(hosted: &mut Hosted, from: &mut Fields, now: Time) -> Result<()> {
     let (span, node, lost, zone) = (from.span()?, from.node()?, from.u32()?, hosted.zone(from)?);
     let (mean, tries) = (from.span()?, from.u32()?);
-    from.report(hosted.columns)?;
+    let load = from.report(&hosted.columns)?;
     from.end()?;
-    hosted.balance.met(now, &Met { node, zone, span, tries, lost, mean });
+    hosted.balance.met(now, &Met { node, zone, span, tries, lost, mean, load });
     Ok(())
 }
 
 fn status_back(hosted: &mut Hosted, from: &mut Fields) -> Result<()> {
     let (_result, _took, _node) = (from.u8()?, from.span()?, from.node()?);
-    from.report(hosted.columns)?;
+    from.report(&hosted.columns)?;
     from.end()?;
     Ok(())
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -35,6 +35,9 @@
 const RAMP_SPAN: Time = Time::from_ms(10_000); // shortest ramp; warming up stretches it
 /// Share of what pushes a cold node over that a ramp may use, by strain: listings err, overloads multiply.
 const FALL_SHARE: [f64; 3] = [0.4, 0.24, 0.1];
+const FALL_ROOMY: f64 = 0.6; // the same where its load reports show room, as these tell of overloads, too
+const ROOMY: f64 = 0.7; // share of a cold node's cores in use up to which they do
+const ROOMY_STEP: f64 = 1.25; // times what they showed before from which it is told to proxies
 const GONE_MEMORY: Time = Time::from_ms(600_000); // a node gone for longer is forgotten
 const SHUN: Time = Time::from_ms(25_000); // proxies slower to avoid a failing node do not crowd
 const MASS: f64 = 2.0; // where half a part is cold, cold nodes get all that they can do
@@ -84,6 +87,11 @@
     started: Option<Time>,
     step: u32, // steps of the ramp taken, and when the last was
     stepped: Time,
+    /// Its cores in use, by its load reports, 1 and more where exchanges wait; the share of its weight up to
+    /// which these showed room for a cold one, and when.
+    busy: Option<f64>,
+    room: f64,
+    roomed: Time,
     met: Tries<NODE_MEMORY>,
     dry: u32,    // tries lost since the last good one
     heard: Time, // when a good one was last heard of
@@ -298,6 +306,8 @@
             (node.dry, node.heard) = if lost < met.tries { (0, now) } else { (dry, node.heard) };
             if fresh {
                 node.met.add(now, met, lost);
+                let busy = met.load.map(|load| load.busy + load.waiting);
+                node.busy = busy.map(|busy| (busy + node.busy.unwrap_or(busy)) / 2.0).or(node.busy);
             }
         }
     }
@@ -310,22 +320,6 @@
         }
     }
 
-    pub fn acknowledged(&mut self, now: Time, mark: u16, took: Time) {
-        self.turn(now);
-        self.channel.book.answer(mark, took);
-    }
-
-    /// So many lines have entered the channel that had not; a host that can't tell says so of all at once.
-    pub fn entered(&mut self, now: Time, lines: f64) {
-        self.turn(now);
-        self.channel.book.enter(lines);
-    }
-
-    /// What this turn's orders count as they were written, and to how many proxies, where the host knows.
-    pub fn counted(&mut self, lines: f64, proxies: usize) {
-        self.channel.book.count(self.now, lines, proxies);
-    }
-
     /// All that came at this time was told: the rules are gone through.
     pub fn rang(&mut self, now: Time, orders: To) {
         self.turn(now);
@@ -334,11 +328,6 @@
         self.channel.book.close(now);
     }
 
-    /// Whether the tables and withdrawals ordered so far say all that the roster has told.
-    pub fn settled(&self) -> bool {
-        self.table.buffer.is_empty() && self.channel.barred.is_empty() && !self.stirred
-    }
-
     fn turn(&mut self, now: Time) {
         if now > self.now {
             self.channel.written.clear();
@@ -377,7 +366,7 @@
             // A new start. Its ramp is its trial: what was met before says nothing of it.
             (node.started, node.ease) = (entry.started, 1.0);
             (node.step, node.stepped) = (self.mandate.warm_steps(entry.started, self.now), self.now);
-            (node.met, node.dry, node.relapses, node.raised) = Default::default();
+            (node.met, node.dry, node.relapses, node.raised, node.busy, node.room) = Default::default();
             let lag = if node.step < RAMP_STEPS { self.mandate.lag() } else { Time::default() };
             (node.blind, node.held) = (self.now + lag, self.now);
             node.heard = self.now + self.mandate.lag() + FLUSH_PERIOD;
@@ -489,7 +478,8 @@
                 strain = strain.min(Strain::Tense);
             }
             // Rule 4 where few nodes are warm: their missing part must not fall on the cold ones.
-            share = share.min(warmth * self.mandate.fall_multiple * FALL_SHARE[strain as usize] * crowd);
+            let most = warmth * self.mandate.fall_multiple * crowd;
+            share = share.min((most * FALL_SHARE[strain as usize]).max(node.room.min(most * FALL_ROOMY)));
             share *= advised.min(1.0);
         } else {
             share *= advised;
@@ -739,11 +729,18 @@
         let each = self.fleet.met.all.rate(now, period) / self.table.lines.values().sum::<f64>();
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.barred.is_none()) {
             let met = node.symptoms(now, kin(node));
+            let stands = self.table.lines.get(id).copied().unwrap_or(0.0);
+            if let (true, Some(busy)) = (node.step < RAMP_STEPS && now >= node.roomed + lag, node.busy) {
+                let room = stands / node.listed * ROOMY / busy.max(LEVEL_LEAST);
+                if room > node.room * ROOMY_STEP || room * ROOMY_STEP < node.room {
+                    (node.room, node.roomed) = (room, now);
+                }
+            }
             // One that loses many anyway, as a jammed one does, may lose a few in a row by chance.
             let few = DRY * (1.0 + 2.0 * node.met.read(now).0);
             // Work sent with nothing coming back, where one table tells what should have come.
             let silent = (self.fleet.heard - node.heard - period).seconds() * f64::from(u8::from(parts == 1));
-            let unheard = silent * each * self.table.lines.get(id).copied().unwrap_or(0.0);
+            let unheard = silent * each * stands;
             let dry = f64::from(node.dry).max(unheard) >= few && better_lost < LOSSY;
             let ease = match met {
                 _ if dry => TRICKLE,
--- a/src/balance/channel.rs
+++ b/src/balance/channel.rs
@@ -18,6 +18,22 @@
 }
 
 impl Balance {
+    pub fn acknowledged(&mut self, now: Time, mark: u16, took: Time) {
+        self.turn(now);
+        self.channel.book.answer(mark, took);
+    }
+
+    /// So many lines have entered the channel that had not; a host that can't tell says so of all at once.
+    pub fn entered(&mut self, now: Time, lines: f64) {
+        self.turn(now);
+        self.channel.book.enter(lines);
+    }
+
+    /// What this turn's orders count as they were written, and to how many proxies, where the host knows.
+    pub fn counted(&mut self, lines: f64, proxies: usize) {
+        self.channel.book.count(self.now, lines, proxies);
+    }
+
     /// Books lines that go to a proxy; all that goes to it in one turn is one message.
     pub(super) fn book(&mut self, proxy: ProxyId, lines: f64) {
         if lines == 0.0 {
--- a/src/balance/look.rs
+++ b/src/balance/look.rs
@@ -7,6 +7,11 @@
 const ADVISED_MOST: f64 = 4.0;
 
 impl Balance {
+    /// Whether the tables and withdrawals ordered so far say all that the roster has told.
+    pub fn settled(&self) -> bool {
+        self.table.buffer.is_empty() && self.channel.barred.is_empty() && !self.stirred
+    }
+
     /// The state of its decisions, as it stands now.
     pub fn look(&self) -> Look {
         let node = |(id, node): (&NodeId, &Node)| {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -188,6 +188,17 @@
     pub lost: u32,
     /// Mean time of the good ones; none if there were none.
     pub mean: Time,
+    /// The node's last load report, if there is one: it tells of all its exchanges, whoever ordered them.
+    pub load: Option<Load>,
+}
+
+/// What a node says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Share of its cores in use.
+    pub busy: f64,
+    /// Exchanges that wait there for a place.
+    pub waiting: f64,
 }
 
 /// Exchanges of a class that came to a proxy, or for a slice.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod helpers;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use helpers::*;
 use oatpitch::Balance;
@@ -13,6 +13,8 @@
     world: World,
     balance: Balance,
     mandate: Mandate,
+    /// What nodes report of themselves along with sums; nothing for most.
+    loads: BTreeMap<u8, Load>,
 }
 
 impl Play {
@@ -24,7 +26,7 @@
         let mut balance = Balance::begin(world.now, mandate.clone(), 7, &mut world);
         world.known.extend((0..8).map(node));
         balance.roster_whole(world.now, &(0..8).map(ready).collect::<Vec<_>>(), true, &mut world);
-        let mut play = Play { world, balance, mandate };
+        let mut play = Play { world, balance, mandate, loads: BTreeMap::new() };
         (0..6).for_each(|proxy| play.join(proxy, true));
         play.seconds(5, |_| None);
         play
@@ -73,7 +75,8 @@
             for k in (0..8).filter(|_| step % 20 == 0) {
                 let Some((tries, lost, mean)) = met(k) else { continue };
                 let (node, zone, span) = (node(k), ZoneId(0), ms(1_000));
-                let met = Met { node, zone, span, tries, lost, mean: ms(mean) };
+                let met =
+                    Met { node, zone, span, tries, lost, mean: ms(mean), load: self.loads.get(&k).copied() };
                 self.balance.met(now, &met);
                 let asked = Asked {
                     proxy: Some(ProxyId(u16::from(k) % 6)),
@@ -215,6 +218,27 @@
     }
 }
 
+/// join+vast: while the rest was jammed, new nodes stood at a fifth of their cores in use for 15 s, as the bound of
+/// their weight is made for what nobody knows. Their own load reports tell that there is room.
+#[test]
+fn a_cold_node_that_reports_room_gets_more_of_a_jam_and_one_that_is_busy_does_not() {
+    let jam = |k| Some(if k < 4 { (20, 8, 1_500) } else { (4, 0, 300) });
+    let mut weights = Vec::new();
+    for load in [None, Some(Load { busy: 0.1, waiting: 0.0 }), Some(Load { busy: 0.9, waiting: 1.0 })] {
+        let mut play = Play::new(|_| {});
+        (0..6).for_each(|proxy| play.join_at(0.2, proxy, false));
+        play.seconds(8, jam);
+        let back: Vec<_> = (4..8).map(|k| listing(k, Standing::Ready, Some(play.world.now))).collect();
+        play.tell(&back);
+        play.loads = load.into_iter().flat_map(|load| (4..8).map(move |k| (k, load))).collect();
+        play.seconds(6, jam);
+        weights.push(play.weight(4));
+        // Rule 4, whatever it reports.
+        assert!(play.weight(4) <= play.mandate.cold_share * 1.25 * 3.0 * 0.6, "{}", play.weight(4));
+    }
+    assert!(weights[1] > 1.5 * weights[0] && weights[2] == weights[0], "{weights:?}");
+}
+
 /// Sums are late and tell of the time before: eight tries lost while a node was down must not put it on trial
 /// once it has started anew.
 #[test]
@@ -283,7 +307,7 @@
     let mut balance = Balance::begin(world.now, mandate(), 7, &mut world);
     world.known.extend((0..8).map(node));
     balance.roster_whole(world.now, &(0..8).map(ready).collect::<Vec<_>>(), true, &mut world);
-    let mut play = Play { world, balance, mandate: mandate() };
+    let mut play = Play { world, balance, mandate: mandate(), loads: BTreeMap::new() };
     play.join(1, false);
     play.seconds(1, |_| None);
     assert!(play.world.bound.contains(&ProxyId(1)));
@@ -499,7 +523,7 @@
     let (node, zone, span, mean) = (id(5), ZoneId(0), ms(0), Time(u64::MAX));
     for node in [node, NodeId([1, 2, 3, 4], 5)] {
         for (tries, lost) in [(u32::MAX, 0), (0, u32::MAX), (1, 1)] {
-            let met = Met { node, zone, span, tries, lost, mean };
+            let met = Met { node, zone, span, tries, lost, mean, load: None };
             play.balance.met(now, &met);
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -135,6 +135,7 @@
                     tries: 30,
                     lost: if (k + how).is_multiple_of(9) { 20 } else { 0 },
                     mean: ms(u64::from(how % 900)),
+                    load: None,
                 };
                 (0..self.nodes).for_each(|k| self.balance.met(self.world.now, &met(k)));
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -124,7 +124,7 @@
                 // Sums that contradict themselves among them: more lost than tried, no span.
                 let (tries, lost) = (u32::from(how % 40), u32::from(how / 40 % 50));
                 let (span, mean) = (ms(u64::from(how % 2) * 1_000), ms(u64::from(how)));
-                let met = Met { node: node(k), zone: ZoneId(0), span, tries, lost, mean };
+                let met = Met { node: node(k), zone: ZoneId(0), span, tries, lost, mean, load: None };
                 self.balance.met(now, &met);
             }
             9 => {
