Small changes wait until orders show in the sums; other zones stand at a tenth

Balance::flush_due let each go after 100 ms, and ramps stepped by a clock of their own.

Change: changes that leave lines more than half of their weight wait until an order could show in the sums (way, period and lateness, from the settings), or go along with what can't wait; ramps step with the judging; FAR is a tenth; load reports of a node that is new are read at once, as they can't be of an earlier life.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,10 +21,12 @@
 /// well before that; where more proxies share it, it is cut into parts of at least so many nodes (count).
 const CONN_SHARE: f64 = 0.25;
 const PART_LEAST: usize = 8;
-/// Share of its weight at which a node of another zone stands in a part: a crossing costs, a hot zone spills.
-const FAR: f64 = 0.2;
+/// Share of its weight at which a node of another zone stands in a part: a crossing costs; where no near node is
+/// open, any share is all of it.
+const FAR: f64 = 0.1;
 const FLUSH_PERIOD: Time = Time::from_ms(100); // longest wait of a buffered change, as in the proposal
 const FLUSH_COUNT: usize = 50; // changes flushed without that wait, as there
+const GENTLE: f64 = 0.5; // of a line's weight, that a change leaves which waits until orders show in the sums
 const TURNS: f64 = 2.0; // times what changes take until the next, while proxies wait: those get the other half
 const PRESSED: f64 = 0.7; // of the span within which proxies must be bound, as withdrawals may come between
 const DEEP: f64 = 0.75; // of the backlog, and of what it sends in that span: the rest is for withdrawals
@@ -37,6 +39,7 @@
 const FALL_SHARE: [f64; 3] = [0.4, 0.24, 0.1];
 const FALL_ROOMY: f64 = 0.6; // the same where its load reports show room, as these tell of overloads, too
 const ROOMY: f64 = 0.7; // share of a cold node's cores in use up to which they do
+const IDLE: f64 = 0.1; // share in use below which they tell no more of it, as they are rough
 const ROOMY_STEP: f64 = 1.25; // times what they showed before from which it is told to proxies
 const GONE_MEMORY: Time = Time::from_ms(600_000); // a node gone for longer is forgotten
 const SHUN: Time = Time::from_ms(25_000); // proxies slower to avoid a failing node do not crowd
@@ -126,6 +129,7 @@
     levels: BTreeMap<u16, Vec<(FurtherTries, f64)>>,
     buffer: BTreeMap<NodeId, f64>, // changes that wait for a flush, and since when any does
     opened: Option<Time>,
+    gentle: bool, // all of them are small
     flushed: Option<Time>,
     blocked: bool, // they are late, and would fit if nothing else were ordered before them
     rested: Time,  // until then proxies that wait to be bound go before further changes
@@ -162,7 +166,6 @@
     snapshot: BTreeMap<NodeId, Node>,
     table: Table,
     withdrawn: BTreeSet<NodeId>, // nodes shut out at all joined proxies
-    ramp_due: Time,              // when the ramps are next looked at
     stirred: bool, // lines may differ from what was pushed: rules that go through all nodes wait for this
     proxies: BTreeMap<ProxyId, Proxy>,
     /// Proxies not bound yet: those with only standing tables first, in the order of joining.
@@ -181,10 +184,9 @@
 type Rule = fn(&mut Balance, To) -> bool;
 
 /// The logic, in order: each rule a condition and an effect, true if it fired.
-const RULES: [Rule; 11] = [
+const RULES: [Rule; 10] = [
     Balance::ask_roster,
     Balance::withdraw_barred,
-    Balance::step_ramp,
     Balance::judge,
     Balance::set_level,
     Balance::leave_bare,
@@ -204,7 +206,6 @@
             snapshot: BTreeMap::new(),
             table: Table { parts: 1, views: 1, seen: BTreeSet::from([ZoneId(0)]), ..Table::default() },
             withdrawn: BTreeSet::new(),
-            ramp_due: now,
             stirred: true,
             proxies: BTreeMap::new(),
             waits: BTreeSet::new(),
@@ -258,7 +259,7 @@
         self.snapshot.extract_if(.., left).for_each(|(id, _)| orders.forget(id));
         let barred = self.snapshot.iter().filter(|(id, node)| node.barred.is_some() && !out.contains(id));
         self.channel.barred = barred.map(|(id, _)| *id).collect();
-        (self.ramp_due, self.stirred) = (self.now, true);
+        self.stirred = true;
     }
 
     pub fn roster_failed(&mut self, now: Time) {
@@ -306,9 +307,9 @@
             (node.dry, node.heard) = if lost < met.tries { (0, now) } else { (dry, node.heard) };
             if fresh {
                 node.met.add(now, met, lost);
-                let busy = met.load.map(|load| load.busy + load.waiting);
-                node.busy = busy.map(|busy| (busy + node.busy.unwrap_or(busy)) / 2.0).or(node.busy);
             }
+            let busy = met.load.map(|load| load.busy + load.waiting);
+            node.busy = busy.map(|busy| (busy + node.busy.unwrap_or(busy)) / 2.0).or(node.busy);
         }
     }
 
@@ -363,6 +364,8 @@
         node.listed = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
         (node.zone, node.kind) = (entry.zone, entry.kind);
         if node.ease == 0.0 || entry.started > node.started {
+            // Reports of an earlier life may still come; a node that is new has none.
+            node.roomed = if node.ease == 0.0 { Time::default() } else { self.now };
             // A new start. Its ramp is its trial: what was met before says nothing of it.
             (node.started, node.ease) = (entry.started, 1.0);
             (node.step, node.stepped) = (self.mandate.warm_steps(entry.started, self.now), self.now);
@@ -529,11 +532,13 @@
 
     /// When the next flush may go, if anything waits for one.
     fn flush_due(&self) -> Option<Time> {
-        let opened = self.table.opened.into_iter().chain(self.waits.first().map(|wait| wait.1)).min()?;
+        let wait = if self.table.gentle { self.mandate.lag() } else { FLUSH_PERIOD };
+        let opened = self.table.opened.map(|at| at + wait).into_iter();
+        let due = opened.chain(self.waits.first().map(|wait| wait.1 + FLUSH_PERIOD)).min()?;
         let paced = self.mandate.message_pace(if self.bare() { 1.0 } else { FLUSH_SHARE });
         let paced = self.table.flushed.map_or(Time::default(), |at| at + paced);
         let full = self.table.buffer.len() >= FLUSH_COUNT;
-        Some(if full { paced } else { paced.max(opened + FLUSH_PERIOD) })
+        Some(if full { paced } else { paced.max(due) })
     }
 }
 
@@ -669,23 +674,6 @@
         true
     }
 
-    /// A starting node's age allows a further step; one at a time, so that a stall makes no jump.
-    fn step_ramp(&mut self, _orders: To) -> bool {
-        let (now, mandate) = (self.now, &self.mandate);
-        if now < self.ramp_due {
-            return false;
-        }
-        self.ramp_due = now + FLUSH_PERIOD;
-        let pace = Time(mandate.ramp_span().0 / u64::from(RAMP_STEPS));
-        let due = |node: &&mut Node| {
-            node.step < mandate.warm_steps(node.started, now) && now >= node.stepped + pace
-        };
-        for node in self.snapshot.values_mut().filter(due) {
-            (node.step, node.stepped, self.stirred) = (node.step + 1, now, true);
-        }
-        true
-    }
-
     /// Nodes are judged by kinds of symptom against the fleet's middle, which heavy exchanges, a sick proxy
     /// or an overload shift for all alike. Tries lost in a row cover silent, hung, cut off and dead nodes;
     /// shares lost failing and full ones; harmful times slow, paused, shared and overloaded ones. Easing
@@ -715,7 +703,7 @@
         // By nodes, so that a few bad ones do not speak for all, and by tries, so that few heard do not.
         let middle_lost = lost(0.5).min(all_lost);
         let (target, lag) = (self.mean_target(), self.mandate.lag());
-        let harm = HARM * target;
+        let (harm, pace) = (HARM * target, Time(self.mandate.ramp_span().0 / u64::from(RAMP_STEPS)));
         // A proxy keeps away from a node after so many own tries in a row, which take their time.
         let rates = |power| self.proxies.values().map(|met| met.rate.powi(power)).sum::<f64>();
         let lines = self.open().count() as f64 / f64::from(parts);
@@ -728,10 +716,14 @@
         let rest_time = if most { middle_time.min(all_time) } else { all_time };
         let each = self.fleet.met.all.rate(now, period) / self.table.lines.values().sum::<f64>();
         for (id, node) in self.snapshot.iter_mut().filter(|(_, node)| node.barred.is_none()) {
+            // A starting node's age allows a further step; one at a time, so that a stall makes no jump.
+            if node.step < self.mandate.warm_steps(node.started, now) && now >= node.stepped + pace {
+                (node.step, node.stepped) = (node.step + 1, now);
+            }
             let met = node.symptoms(now, kin(node));
             let stands = self.table.lines.get(id).copied().unwrap_or(0.0);
             if let (true, Some(busy)) = (node.step < RAMP_STEPS && now >= node.roomed + lag, node.busy) {
-                let room = stands / node.listed * ROOMY / busy.max(LEVEL_LEAST);
+                let room = stands / node.listed * (ROOMY / busy.max(IDLE));
                 if room > node.room * ROOMY_STEP || room * ROOMY_STEP < node.room {
                     (node.room, node.roomed) = (room, now);
                 }
@@ -862,6 +854,12 @@
         let wanted = self.wanted_levels();
         let levels = self.table.levels.values().any(|levels| *levels != wanted);
         let opened = (levels || !buffer.is_empty()).then(|| self.table.opened.unwrap_or(self.now));
+        // Lines that stay, and by little: an order shows in the sums only after a while, and most of it is its head.
+        let little = |(id, weight): (&NodeId, &f64)| {
+            let old = self.table.lines.get(id).copied().unwrap_or(0.0);
+            old.min(*weight) >= GENTLE * old.max(*weight) && !self.withdrawn.contains(id)
+        };
+        self.table.gentle = !levels && buffer.iter().all(little);
         let changed = buffer != self.table.buffer || opened != self.table.opened;
         (self.table.buffer, self.table.opened) = (buffer, opened);
         changed
