Small changes take a fifth of the channel; parts get their share of every kind again

Change: the deal goes by zone and kind, then zone, then all; a far node's share follows from the fee that the settings state for a crossing (0.008 of it, a fifth at most; the key may be missing); small changes rest for four times what the last changes took to send, so that they have a fifth of the channel, and go with what can't wait.

--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -188,6 +188,8 @@
         way: at.time("specifics.push_delay_us")?,
         way_longest: at.time("specifics.push_delay_max_us")?,
         strikes: at.value("specifics.strikes")?,
+        // Where nothing is charged, the key may be missing.
+        crossing_fee: if at.0.contains_key("fees.cross_zone") { at.figure("fees.cross_zone")? } else { 0.0 },
         proxies: at.value("specifics.data_plane_size")?,
         conns_least: at.figure("specifics.min_conn_cap")?,
         bare: at.time("specifics.blackhole_us")?,
@@ -253,7 +255,7 @@
     #[test]
     fn both_forms_give_the_same_charge() {
         let nested = serde_json::json!({
-            "azs": ["north side", "b"], "discovery": "push", "tick_us": 5000,
+            "azs": ["north side", "b"], "discovery": "push", "tick_us": 5000, "fees": {"cross_zone": 0.08},
             "report": {"how": "piggyback", "columns": ["cpu", "waiting"]},
             "classes": [
                 {"name": "quote", "semantics": "safe", "promise_us": 1_200_000, "deadline_us": 4_000_000,
@@ -269,7 +271,7 @@
                 "data_plane_size": 12, "min_conn_cap": 121.0, "blackhole_us": 3_100_000,
                 "cycle_us": 1_000_000, "home_only": [false, true]},
         });
-        let pairs = "azs=north_side,b\ndiscovery=push\ntick_us=5000\nreport.how=piggyback\n\
+        let pairs = "azs=north_side,b\ndiscovery=push\ntick_us=5000\nfees.cross_zone=0.08\nreport.how=piggyback\n\
             report.columns=cpu,waiting\nclasses.count=2\nclasses.0.name=quote\nclasses.0.semantics=safe\n\
             classes.0.promise_us=1200000\nclasses.0.deadline_us=4000000\nclasses.0.worth=2.0\n\
             classes.1.name=advance\nclasses.1.semantics=keyed\nclasses.1.dedup_scope=zone\n\
--- a/crates/standins/src/mandate.rs
+++ b/crates/standins/src/mandate.rs
@@ -27,6 +27,7 @@
         way: Time::from_ms(200),
         way_longest: Time::from_ms(600),
         strikes: 5,
+        crossing_fee: 0.08,
         proxies,
         conns_least,
         bare: Time::from_ms(3_000),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,12 +21,14 @@
 /// well before that; where more proxies share it, it is cut into parts of at least so many nodes (count).
 const CONN_SHARE: f64 = 0.25;
 const PART_LEAST: usize = 8;
-/// Share of its weight at which a node of another zone stands in a part: a crossing costs; where no near node is
-/// open, any share is all of it.
-const FAR: f64 = 0.1;
+/// Share of its weight at which a node of another zone stands in a part, for a hot zone to spill over; and what it
+/// costs there at most, in parts of an exchange's gain: with the fee stated, it stands at less.
+const FAR: f64 = 0.2;
+const FAR_FEE: f64 = 0.008;
 const FLUSH_PERIOD: Time = Time::from_ms(100); // longest wait of a buffered change, as in the proposal
 const FLUSH_COUNT: usize = 50; // changes flushed without that wait, as there
-const GENTLE: f64 = 0.5; // of a line's weight, that a change leaves which waits until orders show in the sums
+const SMALL: f64 = 0.5; // of a line's weight: changes that leave as much rest longer, as most of them is their head
+const SMALL_TURNS: f64 = 4.0; // times what changes take until such go: a fifth of the channel
 const TURNS: f64 = 2.0; // times what changes take until the next, while proxies wait: those get the other half
 const PRESSED: f64 = 0.7; // of the span within which proxies must be bound, as withdrawals may come between
 const DEEP: f64 = 0.75; // of the backlog, and of what it sends in that span: the rest is for withdrawals
@@ -129,7 +131,8 @@
     levels: BTreeMap<u16, Vec<(FurtherTries, f64)>>,
     buffer: BTreeMap<NodeId, f64>, // changes that wait for a flush, and since when any does
     opened: Option<Time>,
-    gentle: bool, // all of them are small
+    small: bool, // all of them are small, and when such may go
+    small_due: Time,
     flushed: Option<Time>,
     blocked: bool, // they are late, and would fit if nothing else were ordered before them
     rested: Time,  // until then proxies that wait to be bound go before further changes
@@ -340,16 +343,17 @@
     }
 
     fn list(&mut self, entry: &Listing) {
-        // A new node goes to the part that has least of its zone, then least in all: dealt out in turn, the nodes
-        // of a release left some parts a tenth of their weight, and their proxies jammed it, while others had all.
+        // A new node goes to the part with least of its zone and kind, then of its zone, then in all: dealt in turn,
+        // the nodes of a release left some parts a tenth of their weight, which their proxies jammed.
         let (parts, snapshot) = (self.table.parts, &self.snapshot);
         let start = (self.chance.below_one() * f64::from(parts)) as u16;
         let part = || {
-            let mut held = vec![(0.0, 0.0); parts.into()];
+            let mut held = vec![[0.0; 3]; parts.into()];
             for node in snapshot.values().filter(|node| node.barred.is_none()) {
-                let (zone, all) = &mut held[usize::from(node.part)];
-                (*zone, *all) =
-                    (*zone + if node.zone == entry.zone { node.listed } else { 0.0 }, *all + node.listed);
+                let near = node.zone == entry.zone;
+                let counts = [near && node.kind == entry.kind, near, true];
+                let sums = held[usize::from(node.part)].iter_mut().zip(counts).filter(|(_, counts)| *counts);
+                sums.for_each(|(sum, _)| *sum += node.listed);
             }
             let order = (0..parts).map(|part| (part + start) % parts);
             order.min_by(|a, b| held[usize::from(*a)].partial_cmp(&held[usize::from(*b)]).unwrap_or(Equal))
@@ -455,7 +459,8 @@
     }
 
     fn near(&self, node: &Node, zone: ZoneId) -> f64 {
-        if self.table.parts == 1 || node.zone == zone { 1.0 } else { FAR }
+        let far = (FAR_FEE / self.mandate.crossing_fee).min(FAR);
+        if self.table.parts == 1 || node.zone == zone { 1.0 } else { far }
     }
 
     /// The weight that a node should stand at in the shared table; 0 for no line.
@@ -532,13 +537,13 @@
 
     /// When the next flush may go, if anything waits for one.
     fn flush_due(&self) -> Option<Time> {
-        let wait = if self.table.gentle { self.mandate.lag() } else { FLUSH_PERIOD };
-        let opened = self.table.opened.map(|at| at + wait).into_iter();
-        let due = opened.chain(self.waits.first().map(|wait| wait.1 + FLUSH_PERIOD)).min()?;
+        let opened = self.table.opened.into_iter().chain(self.waits.first().map(|wait| wait.1)).min()?;
+        let small = self.table.small && self.waits.is_empty();
         let paced = self.mandate.message_pace(if self.bare() { 1.0 } else { FLUSH_SHARE });
         let paced = self.table.flushed.map_or(Time::default(), |at| at + paced);
+        let paced = if small { paced.max(self.table.small_due) } else { paced };
         let full = self.table.buffer.len() >= FLUSH_COUNT;
-        Some(if full { paced } else { paced.max(due) })
+        Some(if full { paced } else { paced.max(opened + FLUSH_PERIOD) })
     }
 }
 
@@ -854,12 +859,11 @@
         let wanted = self.wanted_levels();
         let levels = self.table.levels.values().any(|levels| *levels != wanted);
         let opened = (levels || !buffer.is_empty()).then(|| self.table.opened.unwrap_or(self.now));
-        // Lines that stay, and by little: an order shows in the sums only after a while, and most of it is its head.
         let little = |(id, weight): (&NodeId, &f64)| {
             let old = self.table.lines.get(id).copied().unwrap_or(0.0);
-            old.min(*weight) >= GENTLE * old.max(*weight) && !self.withdrawn.contains(id)
+            old.min(*weight) >= SMALL * old.max(*weight) && !self.withdrawn.contains(id)
         };
-        self.table.gentle = !levels && buffer.iter().all(little);
+        self.table.small = !levels && buffer.iter().all(little);
         let changed = buffer != self.table.buffer || opened != self.table.opened;
         (self.table.buffer, self.table.opened) = (buffer, opened);
         changed
@@ -975,7 +979,8 @@
         self.table.blocked = blocked && !fired;
         if fired {
             self.stirred = true;
-            self.table.rested = now + Time::from_seconds(TURNS * (before - room) / self.channel.book.pace());
+            let rest = |turns| now + Time::from_seconds(turns * (before - room) / self.channel.book.pace());
+            (self.table.rested, self.table.small_due) = (rest(TURNS), rest(SMALL_TURNS));
             self.table.flushed = if due { Some(now) } else { self.table.flushed };
             self.table.opened = self.table.opened.filter(|_| !due);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -144,6 +144,8 @@
     pub way_longest: Time,
     /// Own tries failed in a row for which a proxy keeps away from a node for a while; 0 for no such habit.
     pub strikes: u32,
+    /// What a try in another zone than its proxy's costs, in parts of an exchange's gain.
+    pub crossing_fee: f64,
     /// All proxies, whichever conductor they are joined to, and the connections that the least nodes accept.
     pub proxies: u32,
     pub conns_least: f64,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -36,6 +36,7 @@
         way: ms(200),
         way_longest: ms(600),
         strikes: 3,
+        crossing_fee: 0.08,
         proxies: 12,
         conns_least: 100.0,
         bare: ms(3_000),
