--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,15 +21,15 @@
 /// well before that; where more proxies share it, it is cut into parts of at least so many nodes (count).
 const CONN_SHARE: f64 = 0.25;
 const PART_LEAST: usize = 8;
-/// Share of its weight at which a node of another zone stands in a part, for a hot zone to spill over; and what it
-/// costs there at most, in parts of an exchange's gain: with the fee stated, it stands at less.
+/// Share of its weight at which a node of another zone stands in a part, so that a hot zone spills over, and what that
+/// may cost, in the fee stated for a crossing (points of gain): where it is dear, less stands there.
 const FAR: f64 = 0.2;
 const FAR_FEE: f64 = 0.008;
 const FLUSH_PERIOD: Time = Time::from_ms(100); // longest wait of a buffered change, as in the proposal
 const FLUSH_COUNT: usize = 50; // changes flushed without that wait, as there
-const SMALL: f64 = 0.5; // of a line's weight: changes that leave as much rest longer, as most of them is their head
+const SMALL: f64 = 0.5; // of a line's weight: changes that leave it rest longer, as most of them is head
 const SMALL_TURNS: f64 = 4.0; // times what changes take until such go: a fifth of the channel
-const TURNS: f64 = 2.0; // times what changes take until the next, while proxies wait: those get the other half
+const TURNS: f64 = 2.0; // times what changes take until the next, if proxies wait: those get the other half
 const PRESSED: f64 = 0.7; // of the span within which proxies must be bound, as withdrawals may come between
 const DEEP: f64 = 0.75; // of the backlog, and of what it sends in that span: the rest is for withdrawals
 const FLUSH_SHARE: f64 = 0.5; // of the backlog and of a proxy's messages: the rest is for withdrawals
@@ -343,8 +343,8 @@
     }
 
     fn list(&mut self, entry: &Listing) {
-        // A new node goes to the part with least of its zone and kind, then of its zone, then in all: dealt in turn,
-        // the nodes of a release left some parts a tenth of their weight, which their proxies jammed.
+        // A new node goes to the part with least of its zone and kind, then of its zone, then in all: dealt in
+        // turn, those of a release left some parts a tenth of their weight, which their proxies jammed.
         let (parts, snapshot) = (self.table.parts, &self.snapshot);
         let start = (self.chance.below_one() * f64::from(parts)) as u16;
         let part = || {
@@ -453,7 +453,7 @@
                 |node: &Node| node.barred.is_none() == open && (!open || (node.step == RAMP_STEPS) == warm);
             nodes().filter(|(_, node)| own(node)).map(weight).sum()
         };
-        // Cold ones take the place of what is gone: counted beside it, a release looked like half a fleet lost.
+        // Cold ones take the place of what is gone: counted beside it, a release looked like a fleet lost.
         let (warm, listed) = (sum(true, true), sum(true, true) + sum(true, false).max(sum(false, true)));
         (warm / listed, (10.0 * stands.sum::<f64>() / listed).ceil().max(1.0) / 10.0)
     }
@@ -574,8 +574,8 @@
 // ---- Rules, and what they do ----
 
 impl Balance {
-    /// What a unit of the weight carries, in each part with a line that proxies may use, and that weight. By rates
-    /// alone, a part of which a release has left one node got as many proxies as a whole one.
+    /// What a unit of the weight carries, in each part with a line that proxies may use, and that weight. By
+    /// rates alone, a part of which a release has left one node got as many proxies as a whole one.
     fn loads(&self) -> BTreeMap<u16, (f64, f64)> {
         let open = self.open_parts().into_iter();
         let mut loads: BTreeMap<u16, (f64, f64)> = open.map(|(part, weight)| (part, (0.0, weight))).collect();
@@ -628,7 +628,7 @@
         }
     }
 
-    /// What is written carries a mark while none is owed, or much was ordered since: answers tell what has left.
+    /// What is written carries a mark while none is owed, or much was ordered since: answers tell what left.
     fn ask_mark(&mut self, orders: To) -> bool {
         let written = self.channel.written.clone();
         let proxies = written.len() + self.channel.strangers as usize;
@@ -655,8 +655,8 @@
         let pace = self.mandate.message_pace(1.0 - FLUSH_SHARE);
         let Some(node) = self.channel.barred.last().copied() else { return false };
         let part = self.snapshot.get(&node).map(|node| node.part);
-        // Who is not bound yet gets a table without the node: after a mass joining a line for each of them and node
-        // filled the channel, and no bind got through.
+        // Who is not bound yet gets a table without the node: after a mass joining a line for each of them
+        // and node filled the channel, and no bind got through.
         let (mut holders, chance) = self.strangers();
         let held = self.proxies.iter().filter(|(_, met)| met.holds && Some(met.part) == part);
         holders.extend(held.map(|(id, _)| *id));
@@ -889,13 +889,13 @@
         (self.mandate.backlog * FLUSH_SHARE).min(self.channel.book.pace() * DEPTH.seconds())
     }
 
-    /// What may wait with what can't be put off long: a withdrawal behind it would still come in time, and has room.
+    /// What may wait with what can't be put off long: a withdrawal behind it still comes in time, and has room.
     fn deep(&self) -> f64 {
         let most = (self.mandate.backlog * DEEP).min(self.channel.book.pace() * self.allowed(DEEP).seconds());
         most.max(self.mandate.backlog * FLUSH_SHARE)
     }
 
-    /// Rules 1 and 3: proxies that wait to be bound may come late, if anything but withdrawals goes before them.
+    /// Rules 1 and 3: proxies that wait to be bound come late, if anything but withdrawals goes first.
     fn pressed(&self) -> bool {
         let Some(joined) = self.waits.iter().map(|wait| wait.1).min() else { return false };
         let lines = self.channel.book.waiting() + self.waits.len() as f64 * self.bind_lines();
@@ -909,9 +909,9 @@
         Time::from_seconds(allowed.seconds() * part)
     }
 
-    /// The period has passed or the count is reached, and little waits in the channel: the gathered changes go to
-    /// the bound proxies, one message each. They wait for proxies that would be bound late, and then take turns with
-    /// those. Whom a withdrawal is written to takes its changes along at once, as most of a message is its head.
+    /// The period has passed or the count is reached, and little waits in the channel: the gathered changes go
+    /// to the bound proxies, one message each. They wait for proxies that would be bound late, then take turns
+    /// with those. Whom a withdrawal is written to takes its changes along, as most of a message is its head.
     fn flush(&mut self, orders: To) -> bool {
         // Rule 1: where no line is left to pick, what is kept for withdrawals serves to lay one.
         let (bare, along, now) = (self.bare(), std::mem::take(&mut self.channel.along), self.now);
@@ -935,8 +935,8 @@
         let (before, levels, parts) = (room, self.wanted_levels(), usize::from(self.table.parts));
         let (mut holders, mut lines) = (vec![0.0; parts], vec![0.0; parts]);
         bound.iter().for_each(|(_, part)| holders[*part] += 1.0);
-        // By parts, those that change most for what stands in them first. What does not fit is gathered again: a
-        // channel kept full would let no more through, only later.
+        // By parts, those that change most for what stands in them first. What does not fit is gathered again:
+        // a channel kept full would let no more through, only later.
         let mut changes = vec![(0.0, Vec::new()); parts];
         for (&id, &weight) in &self.table.buffer {
             let part = self.snapshot.get(&id).map_or(0, |node| usize::from(node.part));
@@ -987,8 +987,8 @@
         fired
     }
 
-    /// Proxies that wait are bound after a flush's period, so many that the next flush need not wait long; within
-    /// half the backlog where one has waited so long that rules 1 and 3 are at risk.
+    /// Proxies that wait are bound after a flush's period, so many that the next flush need not wait long;
+    /// within half the backlog where one has waited so long that rules 1 and 3 are at risk.
     fn bind_waiting(&mut self, orders: To) -> bool {
         let pressed = self.pressed() && !self.table.lines.is_empty();
         let half = self.mandate.backlog * FLUSH_SHARE;
@@ -1013,7 +1013,7 @@
         if self.waits.is_empty() || self.table.blocked || !due || empty || !room(&self.channel) {
             return false;
         }
-        // Worked out once: for each of a thousand that wait, a turn took a second, and all else waited for it.
+        // Worked out once: for each of a thousand that wait, a turn took a second, and all else waited.
         let (waits, mut loads, mut fired) = (self.waits.clone(), self.loads(), false);
         for (.., proxy) in waits {
             if !room(&self.channel) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,8 +218,8 @@
     }
 }
 
-/// disco+vast: eases by a fifth and steps of ramps, each written to a part's proxies with a head of its own, used half
-/// of all channels. Small changes wait for each other while the channel rests, or go along with what can't wait.
+/// disco+vast: eases by a fifth and steps of ramps, each written to a part's proxies with a head of its own, used
+/// half of all channels. Small changes wait for each other while the channel rests, or go with what can't wait.
 #[test]
 fn small_changes_wait_together_and_what_matters_does_not() {
     // Six messages of eight lines take half a second, and rest for four times as long.
@@ -243,8 +243,8 @@
     assert_eq!((play.weight(4), play.weight(5), written(&play)), (0.9, 0.3, before + 3));
 }
 
-/// join+vast: while the rest was jammed, new nodes stood at a fifth of their cores in use for 15 s, as the bound of
-/// their weight is made for what nobody knows. Their own load reports tell that there is room.
+/// join+vast: while the rest was jammed, new nodes stood at a fifth of their cores in use for 15 s, as the bound
+/// of their weight is made for what nobody knows. Their own load reports tell that there is room.
 #[test]
 fn a_cold_node_that_reports_room_gets_more_of_a_jam_and_one_that_is_busy_does_not() {
     let jam = |k| Some(if k < 4 { (20, 8, 1_500) } else { (4, 0, 300) });
@@ -466,8 +466,8 @@
     assert!(thin <= 4, "{thin} of 80 for one node of {}", 32 - drains.len());
 }
 
-/// join+vast: dealt out in turn, the nodes of a release left one part 2 warm units of 20 and 12 cold ones, another
-/// 16 and 10, while as many proxies stayed bound to each; the thin one jammed for 20 s.
+/// join+vast: dealt out in turn, the nodes of a release left one part 2 warm units of 20 and 12 cold ones,
+/// another 16 and 10, while as many proxies stayed bound to each; the thin one jammed for 20 s.
 #[test]
 fn new_nodes_go_to_the_parts_that_a_release_has_left_thin() {
     let mut play = Play::cut(6_000.0);
@@ -491,8 +491,8 @@
     assert_eq!(parts(&play), [8; 4]);
 }
 
-/// Parts of equal weight but unlike kinds are of unlike strength, as listed weights err by kind: each part gets as
-/// much of every kind of a zone, before its weight counts.
+/// Parts of equal weight but unlike kinds are of unlike strength, as listed weights err by kind: each part gets
+/// as much of every kind of a zone, before its weight counts.
 #[test]
 fn each_part_gets_its_share_of_every_kind() {
     let mut play = Play::cut(6_000.0);
@@ -513,8 +513,8 @@
     assert_eq!(places.len(), 8, "one to each part and zone");
 }
 
-/// The same days: nodes counted as missing beside those that had replaced them, so the new ones' weight was reckoned
-/// from far too little, and they stood idle beside jammed ones.
+/// The same days: nodes counted as missing beside those that had replaced them, so the new ones' weight was
+/// reckoned from far too little, and they stood idle beside jammed ones.
 #[test]
 fn cold_nodes_in_the_place_of_gone_ones_are_not_held_back_by_both() {
     let mut play = Play::new(|_| {});
