--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,8 +21,8 @@
 /// well before that; where more proxies share it, it is cut into parts of at least so many nodes (count).
 const CONN_SHARE: f64 = 0.25;
 const PART_LEAST: usize = 8;
-/// Share of its weight at which a node of another zone stands in a part, so that a hot zone spills over, and what that
-/// may cost, in the fee stated for a crossing (points of gain): where it is dear, less stands there.
+/// Share of its weight at which a node of another zone stands in a part at most, as a hot zone is to spill over;
+/// and that share times the fee stated for a crossing (points of gain): where it is dear, less stands there.
 const FAR: f64 = 0.2;
 const FAR_FEE: f64 = 0.008;
 const FLUSH_PERIOD: Time = Time::from_ms(100); // longest wait of a buffered change, as in the proposal
@@ -343,8 +343,8 @@
     }
 
     fn list(&mut self, entry: &Listing) {
-        // A new node goes to the part with least of its zone and kind, then of its zone, then in all: dealt in
-        // turn, those of a release left some parts a tenth of their weight, which their proxies jammed.
+        // A new node goes to the part with least of its zone and kind, then of its zone, then in all: dealt
+        // in turn, those of a release left some parts a tenth of their weight, which their proxies jammed.
         let (parts, snapshot) = (self.table.parts, &self.snapshot);
         let start = (self.chance.below_one() * f64::from(parts)) as u16;
         let part = || {
@@ -889,7 +889,7 @@
         (self.mandate.backlog * FLUSH_SHARE).min(self.channel.book.pace() * DEPTH.seconds())
     }
 
-    /// What may wait with what can't be put off long: a withdrawal behind it still comes in time, and has room.
+    /// What may wait with what can't be put off long: withdrawals behind it come in time, with room.
     fn deep(&self) -> f64 {
         let most = (self.mandate.backlog * DEEP).min(self.channel.book.pace() * self.allowed(DEEP).seconds());
         most.max(self.mandate.backlog * FLUSH_SHARE)
@@ -909,8 +909,8 @@
         Time::from_seconds(allowed.seconds() * part)
     }
 
-    /// The period has passed or the count is reached, and little waits in the channel: the gathered changes go
-    /// to the bound proxies, one message each. They wait for proxies that would be bound late, then take turns
+    /// The period is over or the count is reached, and little waits in the channel: the gathered changes go
+    /// to the bound proxies, one message each. They wait for proxies to be bound late, then take turns
     /// with those. Whom a withdrawal is written to takes its changes along, as most of a message is its head.
     fn flush(&mut self, orders: To) -> bool {
         // Rule 1: where no line is left to pick, what is kept for withdrawals serves to lay one.
@@ -935,8 +935,8 @@
         let (before, levels, parts) = (room, self.wanted_levels(), usize::from(self.table.parts));
         let (mut holders, mut lines) = (vec![0.0; parts], vec![0.0; parts]);
         bound.iter().for_each(|(_, part)| holders[*part] += 1.0);
-        // By parts, those that change most for what stands in them first. What does not fit is gathered again:
-        // a channel kept full would let no more through, only later.
+        // By parts, those that change most for what stands in them first. What does not fit is gathered
+        // again: a channel kept full would let no more through, only later.
         let mut changes = vec![(0.0, Vec::new()); parts];
         for (&id, &weight) in &self.table.buffer {
             let part = self.snapshot.get(&id).map_or(0, |node| usize::from(node.part));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,8 +218,9 @@
     }
 }
 
-/// disco+vast: eases by a fifth and steps of ramps, each written to a part's proxies with a head of its own, used
-/// half of all channels. Small changes wait for each other while the channel rests, or go with what can't wait.
+/// disco+vast: eases by a fifth and steps of ramps, each written to a part's proxies with a head of its own,
+/// used half of all channels. Small changes wait for each other while the channel rests, or go with what
+/// can't wait.
 #[test]
 fn small_changes_wait_together_and_what_matters_does_not() {
     // Six messages of eight lines take half a second, and rest for four times as long.
@@ -243,8 +244,8 @@
     assert_eq!((play.weight(4), play.weight(5), written(&play)), (0.9, 0.3, before + 3));
 }
 
-/// join+vast: while the rest was jammed, new nodes stood at a fifth of their cores in use for 15 s, as the bound
-/// of their weight is made for what nobody knows. Their own load reports tell that there is room.
+/// join+vast: while the rest was jammed, new nodes stood at a fifth of their cores in use for 15 s, as the
+/// bound of their weight is made for what nobody knows. Their own load reports tell that there is room.
 #[test]
 fn a_cold_node_that_reports_room_gets_more_of_a_jam_and_one_that_is_busy_does_not() {
     let jam = |k| Some(if k < 4 { (20, 8, 1_500) } else { (4, 0, 300) });
@@ -421,7 +422,8 @@
 
 #[test]
 fn proxies_of_dead_conductors_do_not_hold_up_withdrawals() {
-    // Incident iebee58: 300 proxies joined at once, urgent binds filled the channel, and drains came too late.
+    // Incident iebee58: 300 proxies joined at once, urgent binds filled the channel, and drains came too
+    // late.
     let mut play = Play::new(|mandate| (mandate.channel_pace, mandate.backlog) = (600.0, 1_200.0));
     play.tell(&[listing(1, Standing::Gone, None)]);
     (20..120).for_each(|proxy| play.join(proxy, false));
@@ -435,8 +437,8 @@
 
 #[test]
 fn proxies_not_bound_yet_do_not_hold_up_drains_of_a_cut_table() {
-    // A release with seven in ten conductors killed: a line for each newcomer and drained node filled the channel,
-    // no bind got through, and 60 nodes were told to drain in vain.
+    // A release with seven in ten conductors killed: a line for each newcomer and drained node filled the
+    // channel, no bind got through, and 60 nodes were told to drain in vain.
     let mut play = Play::cut(6_000.0);
     (20..320).for_each(|proxy| play.join(proxy, false));
     let drains: Vec<Listing> = (0..8).map(|k| listing(k, Standing::Draining, None)).collect();
@@ -449,8 +451,8 @@
 
 #[test]
 fn a_part_that_a_release_has_left_few_nodes_gets_few_proxies() {
-    // herd+mass, seed 13: by rates alone a part with one cold node left got as many newcomers as a whole one, and the
-    // node, sent 4.5 times what it could do, fell over.
+    // herd+mass, seed 13: by rates alone a part with one cold node left got as many newcomers as a whole one,
+    // and the node, sent 4.5 times what it could do, fell over.
     let mut play = Play::cut(6_000.0);
     let moves = play.world.moves.clone();
     let of = moves.iter().filter(|line| line.0.0 / 2 == 3).map(|line| line.1.0[3]);
@@ -491,8 +493,8 @@
     assert_eq!(parts(&play), [8; 4]);
 }
 
-/// Parts of equal weight but unlike kinds are of unlike strength, as listed weights err by kind: each part gets
-/// as much of every kind of a zone, before its weight counts.
+/// Parts of equal weight but unlike kinds are of unlike strength, as listed weights err by kind: each part
+/// gets as much of every kind of a zone, before its weight counts.
 #[test]
 fn each_part_gets_its_share_of_every_kind() {
     let mut play = Play::cut(6_000.0);
@@ -534,7 +536,8 @@
 
 #[test]
 fn a_zone_that_is_cold_is_ramped_by_what_stands_as_it_sees_its_part() {
-    // A drawn day of norte-antofagasta-later: a site restarted, the rest stood at a fifth, and a cold node fell.
+    // A drawn day of norte-antofagasta-later: a site restarted, the rest stood at a fifth, and a cold node
+    // fell.
     let mut play = Play::cut(2_000.0);
     play.seconds(8, |_| Some((20, 0, 100)));
     let gone: Vec<Listing> = (0..32).step_by(2).map(|k| listing(k, Standing::Gone, None)).collect();
