--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,7 +21,7 @@
 /// well before that; where more proxies share it, it is cut into parts of at least so many nodes (count).
 const CONN_SHARE: f64 = 0.25;
 const PART_LEAST: usize = 8;
-/// Share of its weight at which a node of another zone stands in a part at most, as a hot zone is to spill over;
+/// Share of its weight at which a node of another zone stands in a part at most: a hot zone is to spill;
 /// and that share times the fee stated for a crossing (points of gain): where it is dear, less stands there.
 const FAR: f64 = 0.2;
 const FAR_FEE: f64 = 0.008;
