--- a/src/balance.rs
+++ b/src/balance.rs
@@ -726,7 +726,7 @@
                 (node.step, node.stepped) = (node.step + 1, now);
             }
             let met = node.symptoms(now, kin(node));
-            let stands = self.table.lines.get(id).copied().unwrap_or(0.0);
+            let stands = self.table.stands(id);
             if let (true, Some(busy)) = (node.step < RAMP_STEPS && now >= node.roomed + lag, node.busy) {
                 let room = stands / node.listed * (ROOMY / busy.max(IDLE));
                 if room > node.room * ROOMY_STEP || room * ROOMY_STEP < node.room {
@@ -846,8 +846,7 @@
         }
         // A node that was withdrawn and is back before its line was taken out must be let in again, too.
         let differs = |(id, weight): &(NodeId, f64)| {
-            self.table.lines.get(id).copied().unwrap_or(0.0) != *weight
-                || *weight > 0.0 && self.withdrawn.contains(id)
+            self.table.stands(id) != *weight || *weight > 0.0 && self.withdrawn.contains(id)
         };
         let places: BTreeSet<(u16, ZoneId)> =
             self.snapshot.values().map(|node| (node.part, node.zone)).collect();
@@ -860,7 +859,7 @@
         let levels = self.table.levels.values().any(|levels| *levels != wanted);
         let opened = (levels || !buffer.is_empty()).then(|| self.table.opened.unwrap_or(self.now));
         let little = |(id, weight): (&NodeId, &f64)| {
-            let old = self.table.lines.get(id).copied().unwrap_or(0.0);
+            let old = self.table.stands(id);
             old.min(*weight) >= SMALL * old.max(*weight) && !self.withdrawn.contains(id)
         };
         self.table.small = !levels && buffer.iter().all(little);
@@ -940,7 +939,7 @@
         let mut changes = vec![(0.0, Vec::new()); parts];
         for (&id, &weight) in &self.table.buffer {
             let part = self.snapshot.get(&id).map_or(0, |node| usize::from(node.part));
-            let change = (weight - self.table.lines.get(&id).copied().unwrap_or(0.0)).abs();
+            let change = (weight - self.table.stands(&id)).abs();
             changes[part].0 += change;
             changes[part].1.push((change, id, weight));
         }
--- a/src/balance/look.rs
+++ b/src/balance/look.rs
@@ -6,6 +6,13 @@
 /// Times its weight that advice may give a node at most: what is beyond that is a slip.
 const ADVISED_MOST: f64 = 4.0;
 
+impl Table {
+    /// The weight of a node's line as it was pushed, 0 for none.
+    pub(super) fn stands(&self, id: &NodeId) -> f64 {
+        self.lines.get(id).copied().unwrap_or(0.0)
+    }
+}
+
 impl Balance {
     /// Whether the tables and withdrawals ordered so far say all that the roster has told.
     pub fn settled(&self) -> bool {
@@ -27,7 +34,7 @@
                 done: f64::from(node.step) / f64::from(RAMP_STEPS),
                 ease: node.ease,
                 trial: node.ease <= TRICKLE,
-                stands: self.table.lines.get(id).copied().unwrap_or(0.0),
+                stands: self.table.stands(id),
                 tries,
                 lost,
                 mean: time / (tries - lost).max(1e-3),
