--- a/crates/conductor/src/run/config.rs
+++ b/crates/conductor/src/run/config.rs
@@ -86,8 +86,11 @@
         }
     };
     let memory_mb = limit("memory_mb", limits::MEMORY, limits::MEMORY_LEAST)?;
-    let sockets = limit("sockets", limits::SOCKETS, limits::SOCKETS_LEAST)?;
+    let sockets = limit("sockets", limits::SOCKETS, limits::SOCKETS_LEAST)?.min(limits::SOCKETS_MOST);
     let charge = oatpitch_mandate::from_json(&config["settings"])?;
+    if charge.mandate.slices > 0 {
+        bail!("settings: specifics.slices: {}, and keys in slices are not served", charge.mandate.slices);
+    }
     let known = match &config["known"] {
         Value::Null => News::default(),
         value => roster::decode(value.to_string().as_bytes(), &charge.zones).context("known")?,
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -10,11 +10,12 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
@@ -30,8 +31,8 @@
 use oatpitch_operator::{Operator, Settled};
 use slog::{Logger, error, info, warn};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::Instant;
 use tower::ServiceExt;
@@ -53,9 +54,12 @@
     let files = line.operator.files;
     let started =
         match line.command {
-            None | Some(Command::Serve) => settled(&files).and_then(|settled| {
+            None | Some(Command::Serve) => run(async move {
+                // Before anything is read: a signal that comes meanwhile is neither missed nor the end.
+                let signals = Signals::start()?;
+                let settled = settled(&files)?;
                 let posting = read(Occasion::Start)?;
-                run(conduct(posting, files, settled.operator))
+                conduct(signals, posting, files, settled.operator).await
             }),
             Some(Command::Check { files, json }) => return check(&files, json),
             Some(Command::Follow { hosts, proxy, zone, rate, tags, count }) => {
@@ -138,6 +142,83 @@
     }
 }
 
+/// The signals that a conductor minds, from the first on.
+struct Signals {
+    stop: Signal,
+    stop_too: Signal,
+    renew: Signal,
+    show: Signal,
+}
+
+impl Signals {
+    fn start() -> Result<Signals> {
+        Ok(Signals {
+            stop: signal(SignalKind::terminate())?,
+            stop_too: signal(SignalKind::interrupt())?,
+            renew: signal(SignalKind::hangup())?,
+            show: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    async fn stopped(&mut self) {
+        tokio::select! {
+            _ = self.stop.recv() => {}
+            _ = self.stop_too.recv() => {}
+        }
+    }
+}
+
+/// Opens an address. One that a predecessor still holds is waited for, as it ends within its time; nothing where
+/// the conductor is stopped meanwhile.
+async fn claim<T>(
+    log: &Logger,
+    signals: &mut Signals,
+    key: &str,
+    at: SocketAddr,
+    open: impl AsyncFn() -> std::io::Result<T>,
+) -> Result<Option<T>> {
+    let (until, mut told) = (Instant::now() + limits::PREDECESSOR, false);
+    loop {
+        match open().await {
+            Ok(opened) => return Ok(Some(opened)),
+            Err(trouble) if trouble.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    info!(log, "{key}: {at} is held by another, waited for");
+                }
+            }
+            Err(trouble) => return Err(trouble).with_context(|| format!("{key}: {at}")),
+        }
+        tokio::select! {
+            biased;
+            () = signals.stopped() => return Ok(None),
+            () = tokio::time::sleep(limits::CLAIM_PAUSE) => {}
+        }
+    }
+}
+
+/// A configuration that was refused is read again a few times: it may have been half written.
+struct Unread {
+    due: Instant,
+    wait: Duration,
+}
+
+impl Unread {
+    fn first() -> Unread {
+        Unread { due: Instant::now() + limits::REREAD_FIRST, wait: limits::REREAD_FIRST }
+    }
+
+    fn next(self) -> Option<Unread> {
+        let wait = self.wait * 2;
+        (wait <= limits::REREAD_LAST).then(|| Unread { due: Instant::now() + wait, wait })
+    }
+}
+
+/// What a renewal takes over, or what is wrong with it.
+fn renewal(stated: &Posting) -> Result<(SocketAddr, Vec<&'static str>), String> {
+    let read = read(Occasion::Renewal);
+    read.map(|posting| (posting.discovery, stated.fixed(&posting))).map_err(|trouble| format!("{trouble:#}"))
+}
+
 fn read(occasion: Occasion) -> Result<Posting> {
     config::read(occasion, |name| std::env::var(name).ok())
 }
@@ -150,8 +231,8 @@
     terms: Rc<Terms>,
     room: limits::Room,
     discovery: SocketAddr,
-    watches: BTreeMap<u64, AbortHandle>,
-    fetch: Option<AbortHandle>,
+    /// What is asked of discovery, by its number.
+    asked: BTreeMap<u64, AbortHandle>,
     peers: Peers,
     datagrams: Option<Rc<UdpSocket>>,
     wake: Option<oatpitch::interface::Time>,
@@ -165,20 +246,48 @@
 
 struct Conn {
     outbox: Outbox,
-    tasks: [AbortHandle; 2],
+    reading: AbortHandle,
+    writing: AbortHandle,
+    dismissed: Rc<Notify>,
 }
 
-impl Drop for Conn {
-    fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
+impl Conn {
+    /// Ends it at once; but an answer of life just queued, which counts nothing in the channel, goes out first.
+    fn end(self) {
+        self.reading.abort();
+        let writing = self.writing;
+        if !self.outbox.owes_sign() {
+            return writing.abort();
+        }
+        // Without its outbox it ends by itself, unless the other side takes nothing.
+        spawn_local(async move {
+            tokio::time::sleep(limits::FAREWELL).await;
+            writing.abort();
+        });
     }
 }
 
-async fn conduct(posting: Posting, files: Vec<PathBuf>, operator: Operator) -> Result<()> {
+async fn conduct(
+    mut signals: Signals,
+    posting: Posting,
+    files: Vec<PathBuf>,
+    operator: Operator,
+) -> Result<()> {
     let (log, guard) = log::start(&posting.name);
-    let (mut stop, mut stop_too) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let mut renew = signal(SignalKind::hangup())?;
-    let mut show = signal(SignalKind::user_defined1())?;
+    let places = posting.sockets - limits::SOCKETS_OWN;
+    // All that there are places for may dial at once: who finds no place in the queue comes again a second later.
+    let open = async || stream::listen(posting.listen, places);
+    let Some(listener) = claim(&log, &mut signals, "listen", posting.listen, open).await? else {
+        info!(log, "stopped before it listened");
+        log::finish(guard);
+        return Ok(());
+    };
+    let datagrams = match posting.peers.listen {
+        Some(at) => claim(&log, &mut signals, "peer_listen", at, async || UdpSocket::bind(at).await)
+            .await?
+            .map(Rc::new),
+        None => None,
+    };
     // What a renewal is held against; the list known is for the start alone.
     let stated = Posting { known: Default::default(), ..posting.clone() };
     let clock = Clock::start(posting.charge.tick);
@@ -190,7 +299,6 @@
         longest: limits::mean_longest(&posting.charge.mandate),
     });
     let (room, nodes) = (limits::room(posting.memory_mb, posting.sockets), posting.known.entries.len());
-    let places = posting.sockets - limits::SOCKETS_OWN;
     let next = Rc::new(Cell::new(0));
     let (server, mut events) = match &operator.channel {
         Some(record) => {
@@ -231,12 +339,6 @@
     };
     let mut turned = clock.now();
     let (mut memory, effects) = Memory::begin(turned, start);
-    let listener =
-        TcpListener::bind(posting.listen).await.with_context(|| format!("listen: {}", posting.listen))?;
-    let datagrams = match posting.peers.listen {
-        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.with_context(|| format!("peer_listen: {at}"))?)),
-        None => None,
-    };
     let mut hands = Hands {
         log: log.clone(),
         inbox: inbox.clone(),
@@ -244,8 +346,7 @@
         terms: terms.clone(),
         room,
         discovery: posting.discovery,
-        watches: BTreeMap::new(),
-        fetch: None,
+        asked: BTreeMap::new(),
         peers: posting.peers,
         datagrams: datagrams.clone(),
         wake: None,
@@ -262,7 +363,7 @@
     }
     let mut clogged = hands.carry_out(effects, &mut memory.counters);
     hands.publish(turned, memory.settled());
-    let mut operator = operator;
+    let (mut operator, mut unread) = (operator, None::<Unread>);
     loop {
         let mut gathered: Vec<Input> = std::mem::take(&mut clogged);
         let wake = hands.wake.map(|at| clock.instant(at));
@@ -271,15 +372,23 @@
             tokio::select! {
                 // Signals are few, and must not wait behind what always comes.
                 biased;
-                _ = stop.recv() => break,
-                _ = stop_too.recv() => break,
-                _ = renew.recv() => {
-                    let read = read(Occasion::Renewal);
-                    let renewal = read.map(|posting| (posting.discovery, stated.fixed(&posting)));
-                    gathered.push(Input::Renewed(renewal.map_err(|trouble| format!("{trouble:#}"))));
+                _ = signals.stop.recv() => break,
+                _ = signals.stop_too.recv() => break,
+                _ = signals.renew.recv() => {
+                    let renewal = renewal(&stated);
+                    unread = renewal.is_err().then(Unread::first);
+                    gathered.push(Input::Renewed(renewal));
                     gathered.push(Input::Noted(hands.renew(&mut operator, &mut hooked, &files)));
                 }
-                _ = show.recv() => {
+                () = sleep(unread.as_ref().map(|unread| unread.due)) => match renewal(&stated) {
+                    Ok(renewal) => {
+                        unread = None;
+                        gathered.push(Input::Renewed(Ok(renewal)));
+                    }
+                    // Told when it was first refused.
+                    Err(_) => unread = unread.and_then(Unread::next),
+                },
+                _ = signals.show.recv() => {
                     info!(log, "counters: {}", memory.counters);
                     if let Some(server) = &hands.channel {
                         info!(log, "channel: {}", server.figures());
@@ -311,7 +420,11 @@
         }
         // Turns come at most once a tick, so that what comes together is one message.
         if clock.now() <= turned {
-            tokio::time::sleep_until(clock.next()).await;
+            tokio::select! {
+                biased;
+                () = signals.stopped() => break,
+                () = tokio::time::sleep_until(clock.next()) => {}
+            }
         }
         turned = clock.turn(turned, hands.wake);
         while gathered.len() < limits::TURN_MOST {
@@ -385,13 +498,16 @@
                 }
                 Effect::Alive(conn) => clogged.extend(self.write(conn, Bytes::from_static(push::ALIVE), 0.0)),
                 Effect::End(conn) => {
-                    self.conns.borrow_mut().remove(&conn);
+                    self.conns.borrow_mut().remove(&conn).into_iter().for_each(Conn::end);
                     self.channel.iter().for_each(|server| server.end(conn));
                 }
+                Effect::Dismiss(conn) => {
+                    self.conns.borrow().get(&conn).into_iter().for_each(|conn| conn.dismissed.notify_one());
+                }
                 Effect::Watch { number, since } => self.watch(number, since),
-                Effect::Unwatch(number) => self.watches.remove(&number).iter().for_each(AbortHandle::abort),
+                Effect::Unwatch(number) => self.asked.remove(&number).iter().for_each(AbortHandle::abort),
                 Effect::Discovery(address) => self.discovery = address,
-                Effect::Fetch => self.fetch(),
+                Effect::Fetch(number) => self.fetch(number),
                 Effect::Wake(at) => self.wake = Some(at),
                 Effect::Tell(peer, message) => self.tell(peer, message),
                 Effect::Log(Grade::Info, text) => info!(self.log, "{text}"),
@@ -463,28 +579,27 @@
             let ended = async {
                 let body = roster::open(address, since).await?;
                 let _ = inbox.send(Input::Watching(number)).await;
-                let pass_on = async |news| _ = inbox.send(Input::News(Some(number), news)).await;
+                let pass_on = async |news| _ = inbox.send(Input::News(number, news)).await;
                 roster::follow(body, &terms.zones, longest, pass_on).await
             };
             let ended = ended.await;
             let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
-            let _ = inbox.send(Input::NewsEnded(Some(number), cause)).await;
+            let _ = inbox.send(Input::NewsEnded(number, cause)).await;
         };
-        self.watches.insert(number, spawn_local(task).abort_handle());
+        self.asked.insert(number, spawn_local(task).abort_handle());
     }
 
-    /// One asked for before is given up.
-    fn fetch(&mut self) {
+    fn fetch(&mut self, number: u64) {
         let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
         let longest = self.room.roster;
-        let task = spawn_local(async move {
+        let task = async move {
             let heard = match roster::fetch(address, &terms.zones, longest).await {
-                Ok(news) => Input::News(None, news),
-                Err(trouble) => Input::NewsEnded(None, format!("{trouble:#}")),
+                Ok(news) => Input::News(number, news),
+                Err(trouble) => Input::NewsEnded(number, format!("{trouble:#}")),
             };
             let _ = inbox.send(heard).await;
-        });
-        self.fetch.replace(task.abort_handle()).iter().for_each(AbortHandle::abort);
+        };
+        self.asked.insert(number, spawn_local(task).abort_handle());
     }
 
     fn tell(&self, peer: Option<usize>, message: Vec<u8>) {
@@ -516,11 +631,15 @@
             let _ = tokio::time::timeout(limits::ACCEPT_PAUSE, places.acquire()).await;
             continue;
         }
-        let Ok((socket, peer)) = listener.accept().await else {
-            // Nothing to be told to is a conductor that stops.
-            let _ = reader.inbox.send(Input::Refused).await;
-            tokio::time::sleep(limits::ACCEPT_PAUSE).await;
-            continue;
+        let (socket, peer) = match listener.accept().await {
+            Ok(taken) => taken,
+            Err(trouble) if stream::itself_alone(&trouble) => continue,
+            Err(_) => {
+                // Nothing to be told to is a conductor that stops.
+                let _ = reader.inbox.send(Input::Refused).await;
+                tokio::time::sleep(limits::ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let conn = ConnId(next.replace(next.get() + 1));
         // A connection already broken tells so when it is read.
@@ -530,7 +649,8 @@
         // The memory hears of it before anything that it says, and can end it from then on.
         let Ok(opened) = reader.inbox.reserve().await else { return };
         opened.send(Input::Opened(conn, peer));
-        let reading = reader.clone().oneshot((conn, read));
+        let dismissed = Rc::new(Notify::new());
+        let reading = reader.clone().oneshot((conn, read, dismissed.clone()));
         let (held, also_held) = (held.clone(), held);
         let reading = spawn_local(async move {
             let _held = held;
@@ -540,9 +660,8 @@
             let _held = also_held;
             writing.await;
         });
-        let tasks = [reading, writing];
-        let tasks = tasks.map(|task| task.abort_handle());
-        conns.borrow_mut().insert(conn, Conn { outbox, tasks });
+        let (reading, writing) = (reading.abort_handle(), writing.abort_handle());
+        conns.borrow_mut().insert(conn, Conn { outbox, reading, writing, dismissed });
     }
 }
 
--- a/crates/conductor/src/wire/limits.rs
+++ b/crates/conductor/src/wire/limits.rs
@@ -49,6 +49,8 @@
 /// Descriptors where no limit is stated; fewer than the least are no use.
 pub const SOCKETS: usize = 1024;
 pub const SOCKETS_LEAST: usize = 64;
+/// Beyond what any system has, and within what can be counted.
+pub const SOCKETS_MOST: usize = 1 << 30;
 /// Longest span of a sum, and exchanges or tries a second in one: beyond what proxies of one zone, or one
 /// machine, can have met, so a message that says more is spoilt.
 pub const SPAN_LONGEST: Time = Time::from_ms(600_000);
@@ -62,6 +64,16 @@
 pub const NAME_LONGEST: usize = 256;
 /// Wait after a failed accept, or for room, so that a full table of descriptors makes no busy loop.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// For an answer of life to go out on a connection that ends, as its buffer nearly always takes it at once.
+pub const FAREWELL: Duration = Duration::from_millis(200);
+/// A predecessor that still holds an address is ended 0.7 s after it was told to stop, or not much later; and how
+/// often the address is tried meanwhile.
+pub const PREDECESSOR: Duration = Duration::from_millis(5_000);
+pub const CLAIM_PAUSE: Duration = Duration::from_millis(20);
+/// Waits before a refused configuration is read again, doubled from the first to the last: whoever writes it may
+/// have told of it too soon.
+pub const REREAD_FIRST: Duration = Duration::from_millis(100);
+pub const REREAD_LAST: Duration = Duration::from_millis(3_200);
 /// For the head of discovery's answer, which an agent on the same machine gives at once.
 pub const ROSTER_ANSWER: Duration = Duration::from_millis(1_000);
 /// Without a byte for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -1,8 +1,5 @@
 //! Discovery: a hyper client as a tower service, its documents, and a watch that lasts until it ends.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -16,7 +13,9 @@
 use oatpitch_memory::heard::{Entry, News};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::net::SocketAddr;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tower::{Service, ServiceExt, service_fn};
 
 use super::{from_ms, limits};
@@ -122,21 +121,23 @@
     longest: usize,
     mut heard: impl AsyncFnMut(News),
 ) -> Result<()> {
-    let mut lines = Lines::new(longest);
-    while let Some(frame) = quiet_for(limits::ROSTER_SILENCE, body.frame()).await? {
+    let (mut lines, mut line_at) = (Lines::new(longest), Instant::now());
+    // Bytes that never end a line are silence too: a watch that trickles, or broke off within one, tells nothing.
+    while let Some(frame) = quiet_until(line_at + limits::ROSTER_SILENCE, body.frame()).await? {
         let Ok(data) = frame.context("the watch broke")?.into_data() else { continue };
         lines.room().extend_from_slice(&data);
         while let Some(line) = lines.cut().map_err(|_| anyhow!("a line over the longest"))? {
             if !line.trim_ascii().is_empty() {
                 heard(decode(&line, zones)?).await;
             }
+            line_at = Instant::now();
         }
     }
     Ok(())
 }
 
-async fn quiet_for<T>(most: Duration, next: impl Future<Output = T>) -> Result<T> {
-    tokio::time::timeout(most, next).await.context("silent for too long")
+async fn quiet_until<T>(until: Instant, next: impl Future<Output = T>) -> Result<T> {
+    tokio::time::timeout_at(until, next).await.context("silent for too long")
 }
 
 #[cfg(test)]
--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -4,18 +4,20 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use oatpitch_frame::Lines;
-use oatpitch_memory::heard::Unusable;
+use oatpitch_memory::heard::{Said, Unusable};
 use oatpitch_memory::{ConnId, Ending, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Notify, mpsc};
 use tower::Service;
 
 use super::heard::{self, Terms, opens_object};
@@ -60,7 +62,7 @@
     pub budget: Budget,
 }
 
-impl Service<(ConnId, OwnedReadHalf)> for Reader {
+impl Service<(ConnId, OwnedReadHalf, Rc<Notify>)> for Reader {
     type Response = ();
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<(), Infallible>>>>;
@@ -69,10 +71,10 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, (conn, stream): (ConnId, OwnedReadHalf)) -> Self::Future {
+    fn call(&mut self, (conn, stream, dismissed): (ConnId, OwnedReadHalf, Rc<Notify>)) -> Self::Future {
         let reader = self.clone();
         Box::pin(async move {
-            let ending = reader.read(conn, stream).await;
+            let ending = reader.read(conn, stream, &dismissed).await;
             // The memory is gone only when the conductor stops.
             let _ = reader.inbox.send(Input::Ended(conn, ending)).await;
             Ok(())
@@ -81,15 +83,32 @@
 }
 
 impl Reader {
-    async fn read(&self, conn: ConnId, mut stream: OwnedReadHalf) -> Ending {
+    /// Reads until the end; or, if it is dismissed before it has said who it is, until what had come by then is
+    /// taken. That is decided here: a greeting may wait in the socket, or in the inbox, when it is dismissed.
+    async fn read(&self, conn: ConnId, mut stream: OwnedReadHalf, dismissed: &Notify) -> Ending {
         let mut lines = Lines::new(limits::LINE_LONGEST);
         let mut held = Held(self.budget.clone(), 0);
+        let (mut named, mut last) = (false, false);
         loop {
             if !held.hold(lines.held(self.budget.1.usual)) {
                 return Ending::Crowded;
             }
             lines.room().reserve(limits::READ_ROOM);
-            match stream.read_buf(lines.room()).await {
+            let read = tokio::select! {
+                biased;
+                read = stream.read_buf(lines.room()) => read,
+                () = dismissed.notified(), if !named => {
+                    last = true;
+                    // What has come is known once the runtime has looked, which it does before it goes on here.
+                    tokio::task::yield_now().await;
+                    tokio::select! {
+                        biased;
+                        read = stream.read_buf(lines.room()) => read,
+                        () = std::future::ready(()) => return Ending::Dismissed,
+                    }
+                }
+            };
+            match read {
                 Ok(0) => return Ending::Closed,
                 Ok(_) => {}
                 Err(_) => return Ending::Broken,
@@ -101,7 +120,10 @@
                     Err(_) => Err(Unusable::TooLong),
                 };
                 let input = match said {
-                    Ok(said) => Input::Said(conn, said),
+                    Ok(said) => {
+                        named |= matches!(said, Said::Joined { .. } | Said::Collector { .. });
+                        Input::Said(conn, said)
+                    }
                     Err(cause) if cause.alone() => Input::Spoilt(conn, cause),
                     Err(cause) => return Ending::Unusable(cause),
                 };
@@ -109,6 +131,9 @@
                     return Ending::Closed;
                 }
             }
+            if last && !named {
+                return Ending::Dismissed;
+            }
             // What can't become a message need not end first, which it may never do.
             if !opens_object(lines.rest()) {
                 return Ending::Unusable(Unusable::NoObject);
@@ -127,6 +152,8 @@
     held: Held,
     lines: f64,
     entered: Entered,
+    /// A message was too much: none goes out after it, as changes would be applied over a gap.
+    refused: bool,
 }
 
 impl Queued {
@@ -154,13 +181,36 @@
         let queued = &mut *self.queued.borrow_mut();
         queued.bytes += message.len();
         queued.lines += lines;
-        if queued.bytes > limits::OUTBOX_MOST || !queued.held.hold(queued.bytes) {
+        queued.refused |= queued.bytes > limits::OUTBOX_MOST || !queued.held.hold(queued.bytes);
+        if queued.refused {
             return false;
         }
         // Where the writing has failed, the reading ends too and tells.
         let _ = self.sender.send((message, lines));
         true
     }
+
+    /// Whether all that still waits is an answer of life, which counts no lines.
+    pub fn owes_sign(&self) -> bool {
+        let queued = self.queued.borrow();
+        queued.bytes > 0 && queued.lines < 1.0 && !queued.refused
+    }
+}
+
+/// Listens for connections, of which so many may wait to be taken; the system may allow fewer.
+pub fn listen(at: SocketAddr, waiting: usize) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A predecessor's connections may still be known to the system.
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(i32::try_from(waiting).unwrap_or(i32::MAX) as u32)
+}
+
+/// Whether an accept failed for the one connection that it would have taken, which has ended before: those behind
+/// it need not wait, and nobody need make room.
+pub fn itself_alone(trouble: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
+    matches!(trouble.kind(), ConnectionAborted | ConnectionReset | Interrupted)
 }
 
 /// Splits a connection; the future writes what the outbox is given.
@@ -171,7 +221,7 @@
 ) -> (OwnedReadHalf, Outbox, impl Future<Output = ()> + use<>) {
     let (read, write) = stream.into_split();
     let (sender, messages) = mpsc::unbounded_channel();
-    let queued = Queued { bytes: 0, held: Held(budget.clone(), 0), lines: 0.0, entered };
+    let queued = Queued { bytes: 0, held: Held(budget.clone(), 0), lines: 0.0, entered, refused: false };
     let queued = Rc::new(RefCell::new(queued));
     (read, Outbox { sender, queued: queued.clone() }, write_all(write, messages, queued))
 }
--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -1,241 +1,19 @@
 //! The whole conductor on loopback ports that the system chooses, with a small stand-in for discovery and
 //! plain sockets for proxies, collectors and strangers.
 
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::io::BufRead;
+use std::net::UdpSocket;
+use std::process::{Command, Output, Stdio};
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use oatpitch_standins::conductor::free_port;
 use serde_json::{Value, json};
 
-/// Far beyond what anything here takes, so that a busy machine gives the same verdict.
-const LONGEST: Duration = Duration::from_secs(20);
+mod site;
 
-fn settings() -> Value {
-    json!({
-        "azs": ["a", "b"], "discovery": "push", "tick_us": 5000,
-        "report": {"how": "piggyback", "columns": ["inflight", "util"]},
-        "classes": [
-            {"name": "lookup", "semantics": "safe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
-                "worth": 1.0},
-            {"name": "order", "semantics": "unsafe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
-                "worth": 2.0},
-        ],
-        "guarantees": {"stop_sending_within_us": 3_000_000, "cold_from": 0.3, "warm_up_us": 12_000_000,
-            "fall_multiple": 3.0},
-        "specifics": {"admit": "share", "slices": 0, "egress_per_s": 5000.0, "head": 6.0,
-            "pending_max": 7000.0,
-            "reloads_max": 0, "update_window_us": 10_000_000, "push_delay_us": 200_000,
-            "push_delay_max_us": 600_000, "strikes": 5, "data_plane_size": 20, "min_conn_cap": 100.0,
-            "blackhole_us": 3_000_000, "cycle_us": 1_000_000},
-    })
-}
-
-fn target(uid: &str, state: &str) -> Value {
-    json!({"uid": uid, "endpoint": "10.0.0.1:80", "az": "a", "model": "m", "pod_group": 0, "state": state,
-        "capacity_hint": 1.0, "boot_ms": 0})
-}
-
-fn list(rev: u64, all: bool, targets: &[Value]) -> String {
-    json!({"rev": rev, "all": all, "targets": targets}).to_string()
-}
-
-/// What discovery does with the next connection.
-enum Answer {
-    /// These bytes, and then the end.
-    Bytes(String),
-    /// A watch: each line as a chunk, an empty one while nothing comes, until the sender is dropped.
-    Watch(Receiver<String>),
-}
-
-/// A stand-in for discovery: each connection gets the next answer; what was asked for is told.
-fn discovery() -> (SocketAddr, Sender<Answer>, Receiver<String>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let (answers, next) = channel();
-    let (asked, paths) = channel();
-    thread::spawn(move || {
-        for answer in next {
-            let Ok((stream, _)) = listener.accept() else { return };
-            let asked: Sender<String> = asked.clone();
-            thread::spawn(move || serve(stream, answer, &asked));
-        }
-    });
-    (address, answers, paths)
-}
-
-fn serve(mut stream: TcpStream, answer: Answer, asked: &Sender<String>) -> Option<()> {
-    let mut reader = BufReader::new(stream.try_clone().ok()?);
-    let mut line = String::new();
-    reader.read_line(&mut line).ok()?;
-    asked.send(line.split(' ').nth(1)?.to_string()).ok()?;
-    while reader.read_line(&mut line).ok()? > 2 {}
-    match answer {
-        Answer::Bytes(bytes) => stream.write_all(bytes.as_bytes()).ok(),
-        Answer::Watch(lines) => {
-            let chunk = |text: &str| format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
-            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-            loop {
-                let line = match lines.recv_timeout(Duration::from_millis(500)) {
-                    Ok(line) => line,
-                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => String::new(),
-                    Err(_) => return None,
-                };
-                stream.write_all(chunk(&line).as_bytes()).ok()?;
-            }
-        }
-    }
-}
-
-/// A conductor, ended with the test.
-struct Conductor {
-    child: Child,
-    address: SocketAddr,
-    folder: PathBuf,
-}
-
-fn config(discovery: SocketAddr) -> Value {
-    json!({"name": "n1", "listen": free_port().to_string(), "discovery": discovery.to_string(),
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"rev": 5, "all": true, "targets": [target("s-1", "active"), target("s-2", "active")]},
-        "settings": settings()})
-}
-
-fn command(name: &str, config: &[u8]) -> (Command, PathBuf) {
-    let folder = std::env::temp_dir().join(format!("oatpitch-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder for the test");
-    std::fs::write(folder.join("config.json"), config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_oatpitch"));
-    command.env_clear().env("NODE_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
-    (command, folder)
-}
-
-impl Conductor {
-    fn start(name: &str, config: &Value) -> Conductor {
-        let (mut command, folder) = command(name, config.to_string().as_bytes());
-        let child = command.spawn().expect("started");
-        let address = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
-        Conductor { child, address, folder }
-    }
-
-    fn dial(&self) -> Party {
-        let start = Instant::now();
-        loop {
-            match TcpStream::connect(self.address) {
-                Ok(stream) => return Party::new(stream),
-                Err(_) if start.elapsed() < LONGEST => thread::sleep(Duration::from_millis(10)),
-                Err(trouble) => panic!("no connection: {trouble}"),
-            }
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
-        assert!(sent.expect("a shell").success());
-    }
-
-    /// The most memory it has held, in kB, and its descriptors.
-    fn holds(&self) -> (u64, usize) {
-        let about = format!("/proc/{}", self.child.id());
-        let status = std::fs::read_to_string(format!("{about}/status")).expect("its status");
-        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory at most");
-        let most = most.trim().trim_end_matches(" kB").parse().expect("a number");
-        (most, std::fs::read_dir(format!("{about}/fd")).expect("its descriptors").count())
-    }
-
-    /// Ends it as a planned restart does, and gives what it logged.
-    fn stop(mut self) -> String {
-        self.signal("TERM");
-        let start = Instant::now();
-        while self.child.try_wait().expect("a child").is_none() {
-            assert!(start.elapsed() < LONGEST, "it does not end");
-            thread::sleep(Duration::from_millis(5));
-        }
-        assert!(self.child.wait().expect("a child").success());
-        let mut log = String::new();
-        if let Some(mut pipe) = self.child.stderr.take() {
-            pipe.read_to_string(&mut log).expect("text");
-        }
-        log
-    }
-}
-
-impl Drop for Conductor {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-/// One connection to the conductor.
-struct Party {
-    reader: BufReader<TcpStream>,
-}
-
-impl Party {
-    fn new(stream: TcpStream) -> Party {
-        stream.set_read_timeout(Some(LONGEST)).expect("a time-out");
-        Party { reader: BufReader::new(stream) }
-    }
-
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        self.reader.get_mut().write_all(bytes)
-    }
-
-    fn say(&mut self, message: Value) {
-        self.write(format!("{message}\n").as_bytes()).expect("taken");
-    }
-
-    fn hear(&mut self) -> Value {
-        let mut line = String::new();
-        self.reader.read_line(&mut line).expect("a line in time");
-        serde_json::from_str(&line).expect("a JSON object")
-    }
-
-    fn probe(&mut self) {
-        self.say(json!({"t": "probe"}));
-        self.hear_until(|message| *message == json!({"t": "alive"}));
-    }
-
-    fn hello(&mut self, proxy: u16) {
-        self.say(json!({"t": "hello", "proxy": proxy, "zone": "a", "weight": 5.0, "fresh": true}));
-    }
-
-    /// Hears until a message that fits.
-    fn hear_until(&mut self, fits: impl Fn(&Value) -> bool) -> Value {
-        let start = Instant::now();
-        loop {
-            let message = self.hear();
-            if fits(&message) {
-                return message;
-            }
-            assert!(start.elapsed() < LONGEST, "it never comes");
-        }
-    }
-
-    /// Whether the other side has ended the connection.
-    fn is_ended(&mut self) -> bool {
-        let mut rest = Vec::new();
-        match self.reader.read_to_end(&mut rest) {
-            Ok(_) => true,
-            Err(trouble) => !matches!(trouble.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
-        }
-    }
-}
-
-fn names(message: &Value) -> Vec<&str> {
-    let lines = message["endpoints"].as_array().into_iter().flatten();
-    lines.map(|line| line[0].as_str().expect("a name")).collect()
-}
-
-fn whole(message: &Value) -> bool {
-    message["full"] == true
-}
+use site::*;
 
 #[test]
 fn a_stream_from_start_to_stop() {
@@ -599,6 +377,13 @@
         (with("/settings/specifics/egress_per_s", json!(-1)), "specifics.egress_per_s"),
         (with("/settings/specifics/head", json!("x")), "specifics.head"),
         (with("/settings/classes/1/deadline_us", json!(1.5)), "classes.1.deadline_us"),
+        (with("/settings/classes", json!([])), "classes.count is missing"),
+        (with("/settings/specifics/egress_per_s", json!(0)), "specifics.egress_per_s must be above 0"),
+        (with("/settings/specifics/pending_max", json!(0.0)), "specifics.pending_max must be above 0"),
+        (with("/settings/specifics/data_plane_size", json!(65_537)), "specifics.data_plane_size is out of"),
+        (with("/settings/specifics/slices", json!(16)), "specifics.slices"),
+        (with("/settings/guarantees/warm_up_us", json!(1e30)), "guarantees.warm_up_us"),
+        (with("/settings/tick_us", json!(null)), "tick_us is missing"),
     ]
     .into_iter()
     .enumerate()
--- /dev/null
+++ b/crates/conductor/tests/crossings.rs
@@ -0,0 +1,561 @@
+//! Two events that cross: each test forces the crossing by order, over loopback, on a whole conductor. One side is
+//! held until the other has been seen, or the conductor itself is held (SIGSTOP) while all that is to meet it at
+//! once is laid; where a time limit must pass, it does so while nothing else can happen. `docs/crossings.md` lists
+//! them.
+
+use std::io::{BufRead, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+mod site;
+
+use site::*;
+
+/// Longer than strangers are borne.
+const STRANGER: Duration = Duration::from_millis(1_700);
+
+impl Conductor {
+    /// Holds it, and waits until it is held.
+    fn hold(&self) {
+        self.signal("STOP");
+        let start = Instant::now();
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its state");
+        while !stat().rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')) {
+            assert!(start.elapsed() < LONGEST, "it is never held");
+            thread::yield_now();
+        }
+    }
+
+    fn go_on(&self) {
+        self.signal("CONT");
+    }
+}
+
+/// A conductor whose discovery has a watch open, and what it can be told by.
+fn watched(name: &str) -> (Conductor, std::sync::mpsc::Sender<String>, std::sync::mpsc::Sender<Answer>) {
+    let (address, answers, paths) = discovery();
+    let (lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let conductor = Conductor::start(name, &config(address));
+    paths.recv_timeout(LONGEST).expect("a watch");
+    (conductor, lines, answers)
+}
+
+/// Guards against the greeting of an older connection, whose bytes came late, taking the place of the newer stream.
+#[test]
+fn a_late_greeting_leaves_the_newer_stream() {
+    let (conductor, lines, _answers) = watched("late-greeting");
+    let mut old = conductor.dial();
+    let greeting = json!({"t": "hello", "proxy": 17, "zone": "a", "weight": 5.0, "fresh": false}).to_string();
+    old.write(&greeting.as_bytes()[..20]).expect("taken");
+    let (mut new, mut table) = (conductor.dial(), Table::default());
+    new.hello(17);
+    new.follow(&mut table, |table| table.lines.len() == 2);
+    old.write(&greeting.as_bytes()[20..]).and_then(|()| old.write(b"\n")).expect("taken");
+    assert!(old.is_ended());
+    lines.send(list(6, false, &[target("s-3", "active")])).expect("watched");
+    new.follow(&mut table, |table| table.lines.len() == 3);
+    let log = conductor.stop();
+    assert!(log.contains("streams overtaken=1") && !log.contains("streams replaced"), "{log}");
+}
+
+/// Guards against a proxy turned away as a stranger while its greeting waits in the socket: the conductor stood
+/// still for longer than strangers are borne. One that says nothing is ended all the same.
+#[test]
+fn a_greeting_that_came_during_a_stall_is_heard() {
+    let (conductor, _lines, _answers) = watched("stall");
+    let (mut proxy, mut silent, mut asking) = (conductor.dial(), conductor.dial(), conductor.dial());
+    // Each is taken by then.
+    [&mut proxy, &mut silent, &mut asking].into_iter().for_each(Party::probe);
+    conductor.hold();
+    proxy.hello(17);
+    asking.say(json!({"t": "probe"}));
+    thread::sleep(STRANGER);
+    conductor.go_on();
+    proxy.follow(&mut Table::default(), |table| table.lines.len() == 2);
+    // Whoever asked for a sign of life has it before the end.
+    assert_eq!(asking.hear(), json!({"t": "alive"}));
+    assert!(asking.is_ended() && silent.is_ended());
+    proxy.probe();
+    let log = conductor.stop();
+    assert!(log.contains("strangers ended=2") && log.contains("streams opened=1"), "{log}");
+}
+
+/// Guards against an answer lost with its connection: who asks for a sign of life and says no more has it.
+#[test]
+fn a_probe_and_the_end_of_its_connection() {
+    let (conductor, _lines, _answers) = watched("half-closed");
+    for held in [false, true] {
+        let mut party = conductor.dial();
+        if held {
+            conductor.hold();
+        }
+        party.say(json!({"t": "probe"}));
+        party.reader.get_mut().shutdown(Shutdown::Write).expect("open");
+        if held {
+            conductor.go_on();
+        }
+        assert_eq!(party.hear(), json!({"t": "alive"}), "held: {held}");
+        assert!(party.is_ended());
+    }
+    conductor.stop();
+}
+
+fn fifo(name: &str) -> (Command, std::path::PathBuf) {
+    let (command, folder) = command(name, b"");
+    std::fs::remove_file(folder.join("config.json")).expect("it was written");
+    let made = Command::new("mkfifo").arg(folder.join("config.json")).status();
+    assert!(made.expect("mkfifo").success());
+    (command, folder)
+}
+
+/// Guards against a signal that comes while the configuration is read: SIGHUP and SIGUSR1 ended the conductor, and a
+/// configuration renewed by then was missed. The configuration is a pipe: opening it to write waits for the reader.
+#[test]
+fn signals_while_the_configuration_is_read() {
+    let ((old, ..), (new, new_answers, new_paths)) = (discovery(), discovery());
+    let (_new_lines, watch) = channel();
+    new_answers.send(Answer::Watch(watch)).expect("running");
+    let (mut command, folder) = fifo("early-signals");
+    let mut config = config(old);
+    let address = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
+    let mut conductor = Conductor { child: command.spawn().expect("started"), address, folder };
+    let at = conductor.folder.join("config.json");
+    let open = || std::fs::OpenOptions::new().write(true).open(&at).expect("it is read");
+    let mut first = open();
+    conductor.signal("HUP");
+    conductor.signal("USR1");
+    first.write_all(config.to_string().as_bytes()).expect("it is read");
+    drop(first);
+    conductor.told("listening on");
+    // It comes for the new one by itself.
+    config["discovery"] = json!(new.to_string());
+    open().write_all(config.to_string().as_bytes()).expect("it is read");
+    new_paths.recv_timeout(LONGEST).expect("a watch at the new address");
+    conductor.dial().probe();
+    let log = conductor.stop();
+    assert!(log.contains("configurations read anew=1"), "{log}");
+}
+
+/// Guards against an end that is no good one: SIGTERM before anything is bound.
+#[test]
+fn a_stop_while_the_configuration_is_read() {
+    let (address, ..) = discovery();
+    let (mut command, folder) = fifo("early-stop");
+    let config = config(address);
+    let at = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
+    let conductor = Conductor { child: command.spawn().expect("started"), address: at, folder };
+    let path = conductor.folder.join("config.json");
+    let mut open = std::fs::OpenOptions::new().write(true).open(path).expect("it is read");
+    conductor.signal("TERM");
+    open.write_all(config.to_string().as_bytes()).expect("it is read");
+    drop(open);
+    conductor.ended();
+}
+
+/// Guards against a configuration told of before it is whole being refused for good.
+#[test]
+fn a_configuration_half_written_when_it_is_told_of() {
+    let ((old, old_answers, old_paths), (new, new_answers, new_paths)) = (discovery(), discovery());
+    let ((_old_lines, old_watch), (_new_lines, new_watch)) = (channel(), channel());
+    old_answers.send(Answer::Watch(old_watch)).expect("running");
+    new_answers.send(Answer::Watch(new_watch)).expect("running");
+    let mut config = config(old);
+    let mut conductor = Conductor::start("half-written", &config);
+    old_paths.recv_timeout(LONGEST).expect("a watch");
+    config["discovery"] = json!(new.to_string());
+    let (whole, path) = (config.to_string(), conductor.folder.join("config.json"));
+    std::fs::write(&path, &whole[..whole.len() / 2]).expect("written");
+    conductor.signal("HUP");
+    conductor.told("configuration not taken over");
+    std::fs::write(&path, &whole).expect("written");
+    new_paths.recv_timeout(LONGEST).expect("a watch at the new address");
+    conductor.dial().probe();
+    let log = conductor.stop();
+    assert!(log.contains("configurations read anew=1") && log.contains("configurations refused=1"), "{log}");
+}
+
+/// Guards against a failed start: the predecessor still holds the address. And against a stop not heard meanwhile.
+#[test]
+fn an_address_still_held_by_a_predecessor() {
+    let (address, answers, _paths) = discovery();
+    let (_lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    for stopped in [false, true] {
+        let config = config(address);
+        let predecessor = TcpListener::bind(config["listen"].as_str().expect("an address")).expect("free");
+        let mut conductor = Conductor::start(&format!("held-{stopped}"), &config);
+        conductor.told("is held");
+        if stopped {
+            conductor.stop();
+            continue;
+        }
+        drop(predecessor);
+        conductor.dial().probe();
+        conductor.stop();
+    }
+}
+
+/// Guards against an end that comes late or is a bad one: signals that come at once, more than one of each, while
+/// thousands of streams are open that leave unread what they are told and have said what nobody has read.
+#[test]
+fn stops_and_renewals_at_once_with_streams_full() {
+    let (address, answers, _paths) = discovery();
+    let (lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let mut config = config(address);
+    config["limits"]["sockets"] = json!(3_000);
+    config["settings"]["specifics"]["data_plane_size"] = json!(2_000);
+    config["settings"]["specifics"]["egress_per_s"] = json!(1_000_000);
+    config["settings"]["specifics"]["pending_max"] = json!(10_000_000);
+    let conductor = Conductor::start("stop", &config);
+    let mut proxies: Vec<Party> = (0..2_000).map(|_| conductor.dial()).collect();
+    for (k, proxy) in proxies.iter_mut().enumerate() {
+        proxy.hello(k as u16);
+    }
+    proxies.iter_mut().for_each(|proxy| _ = proxy.hear_until(whole));
+    conductor.hold();
+    lines.send(list(6, false, &[target("s-1", "leaving"), target("s-3", "active")])).expect("watched");
+    let usage =
+        json!({"t": "demand", "proxy": 1, "class": "lookup", "tries": 1, "failed": 0, "span_ms": 1000.0});
+    for proxy in &mut proxies {
+        proxy.say(usage.clone());
+        proxy.write(b"{\"t\":\"demand\",").expect("taken");
+    }
+    ["HUP", "TERM", "USR1", "INT", "TERM", "HUP"].iter().for_each(|name| conductor.signal(name));
+    let start = Instant::now();
+    conductor.go_on();
+    conductor.signal("TERM");
+    let log = conductor.ended();
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(600), "it took {took:?}");
+    assert!(log.contains("stopped; counters: "), "{log}");
+    assert!(proxies.iter_mut().all(Party::is_ended));
+}
+
+/// Guards against a watch kept for ever by bytes that never end a line, while a drain is to be told.
+#[test]
+fn a_watch_that_trickles_is_taken_for_silent() {
+    let (address, answers, paths) = discovery();
+    let ((bytes, trickle), (lines, watch)) = (channel(), channel());
+    answers.send(Answer::Trickle(trickle)).expect("running");
+    answers.send(Answer::Watch(watch)).expect("running");
+    let conductor = Conductor::start("trickle", &config(address));
+    paths.recv_timeout(LONGEST).expect("a watch");
+    let start = Instant::now();
+    bytes.send(b"c\r\n{\"rev\":6,\"al\r\n".to_vec()).expect("watched");
+    let mut again = None;
+    // Each piece well within the silence that is borne.
+    while again.is_none() {
+        let _ = bytes.send(b"1\r\n \r\n".to_vec());
+        again = paths.recv_timeout(Duration::from_millis(100)).ok();
+        assert!(start.elapsed() < LONGEST, "it goes on for ever");
+    }
+    assert!(start.elapsed() < Duration::from_millis(5_500), "after {:?}", start.elapsed());
+    assert_eq!(again.as_deref(), Some("/catalog/members?follow=1&since=5"));
+    lines.send(list(6, false, &[target("s-1", "leaving")])).expect("watched");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    proxy.hello(1);
+    proxy.follow(&mut table, |table| table.open() == ["s-2"]);
+    conductor.stop();
+}
+
+/// Guards against a moved discovery's repeat of what the former watch has told meanwhile: it ended the watch, cost a
+/// fetch and told a drained node as active.
+#[test]
+fn a_new_watch_answered_after_the_former_told_a_drain() {
+    let (mut conductor, old_lines, _old_answers) = watched("repeat");
+    let (new, new_answers, new_paths) = discovery();
+    let (answer, held) = channel();
+    new_answers.send(Answer::Held(held)).expect("running");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    proxy.hello(17);
+    proxy.follow(&mut table, |table| table.lines.len() == 2);
+    let path = conductor.folder.join("config.json");
+    let mut config: Value = serde_json::from_slice(&std::fs::read(&path).expect("there")).expect("JSON");
+    config["discovery"] = json!(new.to_string());
+    std::fs::write(&path, config.to_string()).expect("written");
+    conductor.signal("HUP");
+    assert_eq!(new_paths.recv_timeout(LONGEST).expect("a watch"), "/catalog/members?follow=1&since=5");
+    // Asked, and not answered: within the second that it may take, the former goes on.
+    old_lines.send(list(6, false, &[target("s-3", "active")])).expect("watched");
+    old_lines.send(list(7, false, &[target("s-1", "leaving")])).expect("watched");
+    let (new_lines, new_watch) = channel();
+    new_lines.send(list(6, false, &[target("s-1", "active"), target("s-3", "active")])).expect("kept");
+    new_lines.send(list(8, false, &[target("s-4", "active")])).expect("kept");
+    proxy.follow(&mut table, |table| table.open() == ["s-2", "s-3"]);
+    answer.send(Answer::Watch(new_watch)).expect("waits");
+    proxy.follow(&mut table, |table| table.lines.contains_key("s-4"));
+    assert_eq!(table.open(), ["s-2", "s-3", "s-4"]);
+    proxy.probe();
+    conductor.told("discovery: from");
+    let log = conductor.stop();
+    assert!(log.contains("news heard before=1") && log.contains("watches opened=2"), "{log}");
+    assert!(!log.contains("false versions") && new_paths.try_recv().is_err(), "{log}");
+}
+
+/// Guards against a list kept on the way undoing a drain that was told after it: fetched, and on the watch itself.
+#[test]
+fn an_older_list_after_a_drain() {
+    for fetched in [true, false] {
+        let (address, answers, paths) = discovery();
+        let ((lines, watch), (again_lines, again)) = (channel(), channel());
+        let old = [target("s-1", "active"), target("s-2", "active"), target("s-4", "active")];
+        answers.send(Answer::Watch(watch)).expect("running");
+        if fetched {
+            let body = list(5, true, &old);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            answers.send(Answer::Bytes(head + &body)).expect("running");
+            answers.send(Answer::Watch(again)).expect("running");
+        }
+        let conductor = Conductor::start(&format!("older-{fetched}"), &config(address));
+        let (mut proxy, mut table) = (conductor.dial(), Table::default());
+        proxy.hello(17);
+        lines.send(list(7, false, &[target("s-1", "leaving"), target("s-3", "active")])).expect("watched");
+        proxy.follow(&mut table, |table| table.open() == ["s-2", "s-3"]);
+        let on = if fetched {
+            lines.send(list(6, false, &[])).expect("watched");
+            let asked: Vec<String> = (0..3).map(|_| paths.recv_timeout(LONGEST).expect("asked")).collect();
+            assert_eq!(asked[1..], ["/catalog/members", "/catalog/members?follow=1&since=5"]);
+            &again_lines
+        } else {
+            lines.send(list(5, true, &old)).expect("watched");
+            &lines
+        };
+        on.send(list(8, false, &[target("s-6", "active")])).expect("watched");
+        proxy.follow(&mut table, |table| table.lines.contains_key("s-6"));
+        assert_eq!(table.open(), ["s-2", "s-3", "s-4", "s-6"], "fetched: {fetched}");
+        let log = conductor.stop();
+        assert!(log.contains("older lists=1"), "{log}");
+    }
+}
+
+/// Guards against a list that was asked for at an address left since being taken, or its end taken for the watch's.
+#[test]
+fn a_fetch_answered_after_discovery_has_moved() {
+    let (old, old_answers, old_paths) = discovery();
+    let (new, new_answers, new_paths) = discovery();
+    let ((lines, watch), (answer, held), (new_lines, new_watch)) = (channel(), channel(), channel());
+    old_answers.send(Answer::Watch(watch)).expect("running");
+    old_answers.send(Answer::Held(held)).expect("running");
+    let body = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let whole = list(9, true, &[target("s-1", "active"), target("s-2", "active"), target("s-3", "active")]);
+    new_answers.send(Answer::Bytes(body(&whole))).expect("running");
+    new_answers.send(Answer::Watch(new_watch)).expect("running");
+    let mut config = config(old);
+    let conductor = Conductor::start("moved-fetch", &config);
+    old_paths.recv_timeout(LONGEST).expect("a watch");
+    lines.send(list(4, false, &[])).expect("watched");
+    assert_eq!(old_paths.recv_timeout(LONGEST).expect("a fetch"), "/catalog/members");
+    conductor.hold();
+    config["discovery"] = json!(new.to_string());
+    std::fs::write(conductor.folder.join("config.json"), config.to_string()).expect("written");
+    conductor.signal("HUP");
+    answer.send(Answer::Bytes(body(&list(8, true, &[target("s-9", "active")])))).expect("waits");
+    conductor.go_on();
+    assert_eq!(new_paths.recv_timeout(LONGEST).expect("a fetch"), "/catalog/members");
+    assert_eq!(new_paths.recv_timeout(LONGEST).expect("a watch"), "/catalog/members?follow=1&since=9");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    proxy.hello(17);
+    new_lines.send(list(10, false, &[target("s-4", "active")])).expect("watched");
+    proxy.follow(&mut table, |table| table.lines.contains_key("s-4"));
+    let wanted = ["s-1", "s-2", "s-3", "s-4"];
+    proxy.follow(&mut table, |table| table.open() == wanted);
+    conductor.stop();
+}
+
+/// Guards against dials that find the listener's queue full: a whole fleet dials a conductor that stands still.
+#[test]
+fn a_fleet_that_dials_during_a_stall_is_queued() {
+    let (address, answers, _paths) = discovery();
+    let (_lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let mut config = config(address);
+    config["limits"]["sockets"] = json!(3_000);
+    config["settings"]["specifics"]["data_plane_size"] = json!(1_500);
+    config["settings"]["specifics"]["egress_per_s"] = json!(1_000_000);
+    config["settings"]["specifics"]["pending_max"] = json!(10_000_000);
+    let conductor = Conductor::start("queue", &config);
+    conductor.dial().probe();
+    let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").expect("the system's limit");
+    let fleet = 1_500.min(most.trim().parse::<u16>().unwrap_or(u16::MAX));
+    conductor.hold();
+    let dial = |k| {
+        let taken = TcpStream::connect_timeout(&conductor.address, Duration::from_millis(900));
+        Party::new(taken.unwrap_or_else(|trouble| panic!("dial {k} of {fleet}: {trouble}")))
+    };
+    let mut proxies: Vec<Party> = (0..fleet).map(dial).collect();
+    proxies.iter_mut().enumerate().for_each(|(k, proxy)| proxy.hello(k as u16));
+    conductor.go_on();
+    proxies.iter_mut().for_each(|proxy| _ = proxy.hear_until(|message| names(message).len() == 2));
+    let log = conductor.stop();
+    assert!(log.contains(&format!("streams opened={fleet}")), "{log}");
+}
+
+/// A proxy that joined, left, joined and was replaced within one turn has its table on the last stream.
+#[test]
+fn joined_left_and_joined_again_within_one_turn() {
+    let (conductor, lines, _answers) = watched("rejoin");
+    let (mut first, mut table) = (conductor.dial(), Table::default());
+    first.hello(17);
+    first.hear_until(whole);
+    conductor.hold();
+    drop(first);
+    let (mut second, mut third, mut last) = (conductor.dial(), conductor.dial(), conductor.dial());
+    second.hello(17);
+    second.reader.get_mut().shutdown(Shutdown::Both).expect("open");
+    third.hello(17);
+    last.hello(17);
+    conductor.go_on();
+    last.follow(&mut table, |table| table.lines.len() == 2);
+    assert!(third.is_ended());
+    lines.send(list(6, false, &[target("s-3", "active")])).expect("watched");
+    last.follow(&mut table, |table| table.lines.len() == 3);
+    let log = conductor.stop();
+    assert!(!log.contains("missed"), "{log}");
+}
+
+/// A node drained and back, one gone and listed again elsewhere, and a proxy that joins, all within one turn: each
+/// proxy ends with what the list says last.
+#[test]
+fn a_drain_its_end_and_a_joining_within_one_turn() {
+    let (conductor, lines, _answers) = watched("within");
+    let (mut old, mut old_table) = (conductor.dial(), Table::default());
+    old.hello(1);
+    old.follow(&mut old_table, |table| table.lines.len() == 2);
+    conductor.hold();
+    let mut moved = target("s-2", "active");
+    moved["az"] = json!("b");
+    for (rev, entry) in
+        [(6, target("s-1", "leaving")), (7, target("s-2", "left")), (8, target("s-1", "active"))]
+    {
+        lines.send(list(rev, false, &[entry])).expect("watched");
+    }
+    lines.send(list(9, false, &[moved, target("s-3", "leaving"), target("s-4", "active")])).expect("watched");
+    let (mut new, mut new_table) = (conductor.dial(), Table::default());
+    new.hello(2);
+    conductor.go_on();
+    new.follow(&mut new_table, |table| table.open() == ["s-1", "s-2", "s-4"]);
+    old.follow(&mut old_table, |table| table.open() == ["s-1", "s-2", "s-4"]);
+    let log = conductor.stop();
+    assert!(!log.contains("missed"), "{log}");
+}
+
+/// The answer to a mark that was ordered on an earlier stream, or by another conductor, answers nothing here.
+#[test]
+fn a_mark_of_an_earlier_stream() {
+    let (conductor, lines, _answers) = watched("marks");
+    let mark =
+        |party: &mut Party| party.hear_until(|message| !message["nonce_out"].is_null())["nonce_out"].clone();
+    let mut first = conductor.dial();
+    first.hello(17);
+    let old = mark(&mut first);
+    let mut second = conductor.dial();
+    second.hello(17);
+    let new = mark(&mut second);
+    assert!(
+        old != new && old.as_u64() > Some(64),
+        "a new life begins where no earlier one stands: {old}, {new}"
+    );
+    second.say(json!({"t": "ack", "proxy": 17, "mark": old, "took_ms": 0.0}));
+    second.say(json!({"t": "ack", "proxy": 17, "mark": new, "took_ms": 0.0}));
+    lines.send(list(6, false, &[target("s-3", "active")])).expect("watched");
+    second.hear_until(|message| names(message) == ["s-3"]);
+    let log = conductor.stop();
+    assert!(log.contains("marks answered=1") && log.contains("marks never ordered=1"), "{log}");
+}
+
+/// Guards against a drain that waits behind all that others say: the inbox is full, and readers wait for a place.
+#[test]
+fn a_drain_told_while_the_inbox_is_full() {
+    let (conductor, lines, _answers) = watched("flood");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    proxy.hello(1);
+    proxy.follow(&mut table, |table| table.lines.len() == 2);
+    let sums = json!({"t": "outcomes", "zone": "a", "server": "s-2", "tries": 9, "failed": 0, "mean_ms": 20.5,
+        "span_ms": 1000.0});
+    let sums = format!("{sums}\n").repeat(1_000);
+    let mut flood: Vec<Party> = (0..24).map(|_| conductor.dial()).collect();
+    flood.iter_mut().for_each(|party| party.say(json!({"t": "agent", "zone": "a"})));
+    conductor.hold();
+    // As much as their sockets take; the last line is cut off where they take no more.
+    for party in &mut flood {
+        let stream = party.reader.get_mut();
+        stream.set_nonblocking(true).expect("open");
+        while stream.write_all(sums.as_bytes()).is_ok() {}
+    }
+    lines.send(list(6, false, &[target("s-1", "leaving")])).expect("watched");
+    let start = Instant::now();
+    conductor.go_on();
+    proxy.follow(&mut table, |table| table.open() == ["s-2"]);
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(1_500), "the drain took {took:?}");
+    conductor.stop();
+}
+
+/// Connections reset before they are taken cost nobody else anything.
+#[test]
+fn resets_before_they_are_taken() {
+    let (conductor, _lines, _answers) = watched("resets");
+    conductor.dial().probe();
+    conductor.hold();
+    for _ in 0..200 {
+        let mut party = conductor.dial();
+        party.write(b"{\"t\":\"probe\"}\n").expect("taken");
+        // With bytes unread at the other side, and none asked for: a reset once more is written.
+        drop(party);
+    }
+    let mut proxy = conductor.dial();
+    proxy.hello(1);
+    conductor.go_on();
+    proxy.hear_until(whole);
+    proxy.probe();
+    let log = conductor.stop();
+    assert!(!log.contains("connections refused") && !log.contains("missed"), "{log}");
+}
+
+/// A conductor that starts anew by a list older than what its proxies hold and with discovery silent binds them to
+/// what it knows, and follows once discovery tells; the nodes that others shut out are let back where they are open.
+#[test]
+fn a_new_start_with_an_old_list_and_discovery_silent() {
+    let (address, answers, paths) = discovery();
+    let ((answer, held), (lines, watch)) = (channel(), channel());
+    answers.send(Answer::Held(held)).expect("running");
+    let mut config = config(address);
+    let mut back = target("s-2", "active");
+    back["boot_ms"] = json!(1_000.0);
+    config["known"] = json!({"rev": 3, "all": true, "targets": [target("s-1", "active"), back]});
+    let conductor = Conductor::start("anew", &config);
+    paths.recv_timeout(LONGEST).expect("a watch");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    table.out.insert("s-2".into());
+    proxy.say(json!({"t": "hello", "proxy": 4, "zone": "b", "weight": 5.0, "fresh": false}));
+    proxy.follow(&mut table, |table| table.open() == ["s-1", "s-2"]);
+    lines.send(list(9, true, &[target("s-3", "active"), target("s-2", "leaving")])).expect("kept");
+    let _ = answer.send(Answer::Watch(watch));
+    proxy.follow(&mut table, |table| table.open() == ["s-3"]);
+    conductor.stop();
+}
+
+/// A log that is read line by line to its end tells of no crossing that must not be.
+#[test]
+fn a_second_conductor_at_the_same_address_never_starts() {
+    let (conductor, _lines, _answers) = watched("twice");
+    conductor.dial().probe();
+    let path = conductor.folder.join("config.json");
+    let mut second = Command::new(env!("CARGO_BIN_EXE_oatpitch"));
+    second.env_clear().env("NODE_CONFIG", path).stderr(Stdio::piped());
+    let mut child = second.spawn().expect("started");
+    let mut log = std::io::BufReader::new(child.stderr.take().expect("its log"));
+    let mut told = String::new();
+    while log.read_line(&mut told).expect("text") > 0 {}
+    assert_eq!(child.wait().expect("a child").code(), Some(1));
+    assert!(told.contains("oatpitch: listen: "), "{told}");
+    conductor.dial().probe();
+    conductor.stop();
+}
--- /dev/null
+++ b/crates/conductor/tests/site/mod.rs
@@ -0,0 +1,313 @@
+//! A conductor on loopback ports that the system chooses, with a small stand-in for discovery and plain sockets for
+//! proxies, collectors and strangers; shared by tests, of which each uses what it needs.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oatpitch_standins::conductor::free_port;
+use serde_json::{Value, json};
+
+/// Far beyond what anything here takes, so that a busy machine gives the same verdict.
+pub const LONGEST: Duration = Duration::from_secs(20);
+
+pub fn settings() -> Value {
+    json!({
+        "azs": ["a", "b"], "discovery": "push", "tick_us": 5000,
+        "report": {"how": "piggyback", "columns": ["inflight", "util"]},
+        "classes": [
+            {"name": "lookup", "semantics": "safe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
+                "worth": 1.0},
+            {"name": "order", "semantics": "unsafe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
+                "worth": 2.0},
+        ],
+        "guarantees": {"stop_sending_within_us": 3_000_000, "cold_from": 0.3, "warm_up_us": 12_000_000,
+            "fall_multiple": 3.0},
+        "specifics": {"admit": "share", "slices": 0, "egress_per_s": 5000.0, "head": 6.0,
+            "pending_max": 7000.0,
+            "reloads_max": 0, "update_window_us": 10_000_000, "push_delay_us": 200_000,
+            "push_delay_max_us": 600_000, "strikes": 5, "data_plane_size": 20, "min_conn_cap": 100.0,
+            "blackhole_us": 3_000_000, "cycle_us": 1_000_000},
+    })
+}
+
+pub fn target(uid: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": "10.0.0.1:80", "az": "a", "model": "m", "pod_group": 0, "state": state,
+        "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+pub fn list(rev: u64, all: bool, targets: &[Value]) -> String {
+    json!({"rev": rev, "all": all, "targets": targets}).to_string()
+}
+
+/// What discovery does with the next connection.
+pub enum Answer {
+    /// These bytes, and then the end.
+    Bytes(String),
+    /// A watch: each line as a chunk, an empty one while nothing comes, until the sender is dropped.
+    Watch(Receiver<String>),
+    /// Nothing until it is told which.
+    Held(Receiver<Answer>),
+    /// The head of a watch, and then just these bytes, until the sender is dropped.
+    Trickle(Receiver<Vec<u8>>),
+}
+
+/// A stand-in for discovery: each connection gets the next answer; what was asked for is told.
+pub fn discovery() -> (SocketAddr, Sender<Answer>, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (answers, next) = channel();
+    let (asked, paths) = channel();
+    thread::spawn(move || {
+        for answer in next {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let asked: Sender<String> = asked.clone();
+            thread::spawn(move || serve(stream, answer, &asked));
+        }
+    });
+    (address, answers, paths)
+}
+
+pub fn serve(mut stream: TcpStream, answer: Answer, asked: &Sender<String>) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    asked.send(line.split(' ').nth(1)?.to_string()).ok()?;
+    while reader.read_line(&mut line).ok()? > 2 {}
+    answer_with(&mut stream, answer)
+}
+
+fn answer_with(stream: &mut TcpStream, answer: Answer) -> Option<()> {
+    match answer {
+        Answer::Held(held) => answer_with(stream, held.recv().ok()?),
+        Answer::Trickle(bytes) => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            bytes.iter().try_for_each(|bytes| stream.write_all(&bytes).ok())
+        }
+        Answer::Bytes(bytes) => stream.write_all(bytes.as_bytes()).ok(),
+        Answer::Watch(lines) => {
+            let chunk = |text: &str| format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            loop {
+                let line = match lines.recv_timeout(Duration::from_millis(500)) {
+                    Ok(line) => line,
+                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => String::new(),
+                    Err(_) => return None,
+                };
+                stream.write_all(chunk(&line).as_bytes()).ok()?;
+            }
+        }
+    }
+}
+
+/// A conductor, ended with the test.
+pub struct Conductor {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub folder: PathBuf,
+}
+
+pub fn config(discovery: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": free_port().to_string(), "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"rev": 5, "all": true, "targets": [target("s-1", "active"), target("s-2", "active")]},
+        "settings": settings()})
+}
+
+pub fn command(name: &str, config: &[u8]) -> (Command, PathBuf) {
+    let folder = std::env::temp_dir().join(format!("oatpitch-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
+    std::fs::write(folder.join("config.json"), config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oatpitch"));
+    command.env_clear().env("NODE_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
+    (command, folder)
+}
+
+impl Conductor {
+    pub fn start(name: &str, config: &Value) -> Conductor {
+        let (mut command, folder) = command(name, config.to_string().as_bytes());
+        let child = command.spawn().expect("started");
+        let address = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
+        Conductor { child, address, folder }
+    }
+
+    pub fn dial(&self) -> Party {
+        let start = Instant::now();
+        loop {
+            match TcpStream::connect(self.address) {
+                Ok(stream) => return Party::new(stream),
+                Err(_) if start.elapsed() < LONGEST => thread::sleep(Duration::from_millis(10)),
+                Err(trouble) => panic!("no connection: {trouble}"),
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+        assert!(sent.expect("a shell").success());
+    }
+
+    /// The most memory it has held, in kB, and its descriptors.
+    pub fn holds(&self) -> (u64, usize) {
+        let about = format!("/proc/{}", self.child.id());
+        let status = std::fs::read_to_string(format!("{about}/status")).expect("its status");
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory at most");
+        let most = most.trim().trim_end_matches(" kB").parse().expect("a number");
+        (most, std::fs::read_dir(format!("{about}/fd")).expect("its descriptors").count())
+    }
+
+    /// Hears its log until a line that holds this.
+    pub fn told(&mut self, what: &str) {
+        let (mut line, mut byte) = (Vec::new(), [0]);
+        let pipe = self.child.stderr.as_mut().expect("its log");
+        loop {
+            assert!(pipe.read(&mut byte).expect("its log") > 0, "it ended without: {what}");
+            line.push(byte[0]);
+            if byte[0] == b'\n' {
+                if String::from_utf8_lossy(&line).contains(what) {
+                    return;
+                }
+                line.clear();
+            }
+        }
+    }
+
+    /// Ends it as a planned restart does, and gives what it logged.
+    pub fn stop(self) -> String {
+        self.signal("TERM");
+        self.ended()
+    }
+
+    /// Waits for its end, which must be a good one, and gives what it logged.
+    pub fn ended(mut self) -> String {
+        let start = Instant::now();
+        while self.child.try_wait().expect("a child").is_none() {
+            assert!(start.elapsed() < LONGEST, "it does not end");
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert!(self.child.wait().expect("a child").success());
+        let mut log = String::new();
+        if let Some(mut pipe) = self.child.stderr.take() {
+            pipe.read_to_string(&mut log).expect("text");
+        }
+        log
+    }
+}
+
+impl Drop for Conductor {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// One connection to the conductor.
+pub struct Party {
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Party {
+    pub fn new(stream: TcpStream) -> Party {
+        stream.set_read_timeout(Some(LONGEST)).expect("a time-out");
+        Party { reader: BufReader::new(stream) }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
+    pub fn say(&mut self, message: Value) {
+        self.write(format!("{message}\n").as_bytes()).expect("taken");
+    }
+
+    pub fn hear(&mut self) -> Value {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line in time");
+        serde_json::from_str(&line).expect("a JSON object")
+    }
+
+    pub fn probe(&mut self) {
+        self.say(json!({"t": "probe"}));
+        self.hear_until(|message| *message == json!({"t": "alive"}));
+    }
+
+    pub fn hello(&mut self, proxy: u16) {
+        self.say(json!({"t": "hello", "proxy": proxy, "zone": "a", "weight": 5.0, "fresh": true}));
+    }
+
+    /// Hears until a message that fits.
+    pub fn hear_until(&mut self, fits: impl Fn(&Value) -> bool) -> Value {
+        let start = Instant::now();
+        loop {
+            let message = self.hear();
+            if fits(&message) {
+                return message;
+            }
+            assert!(start.elapsed() < LONGEST, "it never comes");
+        }
+    }
+
+    /// What is applied by a proxy that hears until a mark is asked for: its nodes, less those shut out.
+    pub fn follow(&mut self, table: &mut Table, until: impl Fn(&Table) -> bool) {
+        let start = Instant::now();
+        while !until(table) {
+            assert!(start.elapsed() < LONGEST, "it never comes to that: {table:?}");
+            let message = self.hear();
+            table.apply(&message);
+        }
+    }
+
+    /// Whether the other side has ended the connection.
+    pub fn is_ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(_) => true,
+            Err(trouble) => !matches!(trouble.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+}
+
+pub fn names(message: &Value) -> Vec<&str> {
+    let lines = message["endpoints"].as_array().into_iter().flatten();
+    lines.map(|line| line[0].as_str().expect("a name")).collect()
+}
+
+pub fn whole(message: &Value) -> bool {
+    message["full"] == true
+}
+
+/// What a proxy holds: the weights of one class, and the nodes that it is to shut out.
+#[derive(Debug, Default)]
+pub struct Table {
+    pub lines: std::collections::BTreeMap<String, f64>,
+    pub out: std::collections::BTreeSet<String>,
+}
+
+impl Table {
+    pub fn apply(&mut self, message: &Value) {
+        if whole(message) {
+            self.lines.clear();
+        }
+        for line in message["endpoints"].as_array().into_iter().flatten() {
+            let (name, weight) = (line[0].as_str().expect("a name"), line[1].as_f64().expect("a weight"));
+            let _ = match weight > 0.0 {
+                true => self.lines.insert(name.into(), weight),
+                false => self.lines.remove(name),
+            };
+        }
+        let each = |key: &str| message[key].as_array().cloned().unwrap_or_default();
+        self.out.extend(each("eject").iter().filter_map(|name| name.as_str().map(String::from)));
+        each("restore").iter().filter_map(Value::as_str).for_each(|name| _ = self.out.remove(name));
+    }
+
+    /// The nodes that it may pick.
+    pub fn open(&self) -> Vec<&str> {
+        self.lines.keys().map(String::as_str).filter(|name| !self.out.contains(*name)).collect()
+    }
+}
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -73,6 +73,15 @@
         Ok(figure)
     }
 
+    /// A figure without which nothing could ever be ordered.
+    fn above_0(&self, key: &str) -> Result<f64> {
+        let figure = self.figure(key)?;
+        if figure == 0.0 {
+            bail!("settings: {key} must be above 0");
+        }
+        Ok(figure)
+    }
+
     fn time(&self, key: &str) -> Result<Time> {
         Ok(Time(self.value::<u64>(key)? / US))
     }
@@ -180,9 +189,9 @@
             &[("share", LevelKind::Share), ("rate", LevelKind::Rate), ("silent", LevelKind::Ignored)],
         )?,
         slices: at.value("specifics.slices")?,
-        channel_pace: at.figure("specifics.egress_per_s")?,
+        channel_pace: at.above_0("specifics.egress_per_s")?,
         message_head: at.figure("specifics.head")?,
-        backlog: at.figure("specifics.pending_max")?,
+        backlog: at.above_0("specifics.pending_max")?,
         messages_most: at.value("specifics.reloads_max")?,
         messages_span: at.time("specifics.update_window_us")?,
         way: at.time("specifics.push_delay_us")?,
@@ -190,7 +199,7 @@
         strikes: at.value("specifics.strikes")?,
         // Where nothing is charged, the key may be missing.
         crossing_fee: if at.0.contains_key("fees.cross_zone") { at.figure("fees.cross_zone")? } else { 0.0 },
-        proxies: at.value("specifics.data_plane_size")?,
+        proxies: proxies(at)?,
         conns_least: at.figure("specifics.min_conn_cap")?,
         bare: at.time("specifics.blackhole_us")?,
         grace: at.time("guarantees.stop_sending_within_us")?,
@@ -203,6 +212,16 @@
     Ok(Charge { mandate, columns, tick: at.time("tick_us")?, zones: names, classes })
 }
 
+/// Numbered from 0, each in 16 bits.
+fn proxies(at: &Pairs) -> Result<u32> {
+    let (key, most) = ("specifics.data_plane_size", u32::from(u16::MAX) + 1);
+    let proxies: u32 = at.value(key)?;
+    if proxies > most {
+        bail!("settings: {key} is out of its range: {proxies}, {most} at most");
+    }
+    Ok(proxies)
+}
+
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
     let count: u16 = at.value("classes.count")?;
     (0..count)
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -46,6 +46,8 @@
     Unread,
     /// It holds a long part of a line while all connections together hold too much.
     Crowded,
+    /// It was dismissed, and has not joined.
+    Dismissed,
 }
 
 #[derive(Clone, Debug)]
@@ -68,10 +70,10 @@
     Noted(Vec<String>),
     /// The watch of this number was answered.
     Watching(u64),
-    /// News of the watch of this number, or of a fetch.
-    News(Option<u64>, News),
-    /// A watch, or a fetch, has ended.
-    NewsEnded(Option<u64>, String),
+    /// News of the watch, or the list of the fetch, of this number.
+    News(u64, News),
+    /// The watch, or the fetch, of this number has ended.
+    NewsEnded(u64, String),
     /// A datagram of a peer, by its place in the list; none if it is nobody's, or too long.
     Peer(Option<usize>),
     Bell,
@@ -92,6 +94,8 @@
     /// The answer to one that asked for a sign of life.
     Alive(ConnId),
     End(ConnId),
+    /// Ends one that has not joined, once all that has come on it by now is heard, unless it joins by that.
+    Dismiss(ConnId),
     /// Discovery is at another address from now on.
     Discovery(SocketAddr),
     /// Follows the list from a version on.
@@ -99,9 +103,10 @@
         number: u64,
         since: u64,
     },
-    /// Ends the watch of this number.
+    /// Ends the watch, or the fetch, of this number.
     Unwatch(u64),
-    Fetch,
+    /// Asks for the whole list, once.
+    Fetch(u64),
     Wake(Time),
     /// To one peer by its place in the list, or to all.
     Tell(Option<usize>, Vec<u8>),
--- a/crates/memory/src/limits.rs
+++ b/crates/memory/src/limits.rs
@@ -25,6 +25,9 @@
 pub const RECONNECT_DOUBLINGS: u32 = 3;
 /// A fetch that has neither come nor failed by then is asked for again.
 pub const FETCH_LONGEST: Time = Time::from_ms(10_000);
+/// Whatever discovery has to tell counts as told by then, as the protocol has it: what it still says of an older
+/// list after that is no list kept on the way.
+pub const TOLD_LATEST: Time = Time::from_ms(6_000);
 /// Log lines about faults of others within a span; the rest is only counted.
 pub const FAULTS_LOGGED: u32 = 20;
 pub const FAULTS_SPAN: Time = Time::from_ms(10_000);
--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -96,6 +96,7 @@
     pub notes: Vec<(Option<NodeId>, String)>,
     pub bells: BTreeSet<Time>,
     pub watched: Option<bool>,
+    pub fetched: bool,
 }
 
 impl Ordered {
@@ -156,8 +157,7 @@
     }
 
     fn each(&self, classes: Classes) -> impl Iterator<Item = ClassId> + use<> {
-        let all = classes == Classes::default();
-        self.all_classes().filter(move |class| all || classes.0 & Classes::of(*class).0 != 0)
+        self.all_classes().filter(move |class| classes.0.is_empty() || classes.0.contains(class))
     }
 
     /// Where both a table's level and one for all are set, the lower holds, and the table's way of trying.
@@ -433,7 +433,7 @@
     }
 
     fn fetch(&mut self) {
-        self.effects.push(Effect::Fetch);
+        self.fetched = true;
     }
 
     /// Proxies' nodes have no address that a conductor could ask: the settings forbid it.
--- a/crates/memory/src/reducer.rs
+++ b/crates/memory/src/reducer.rs
@@ -21,23 +21,47 @@
     Proxy(ProxyId),
 }
 
-/// The watch over discovery's list.
+/// Something asked of discovery, by its number, and the version that it has come to: a watch begins with the one
+/// that it was opened from, and a fetch keeps the one that was held when it was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    number: u64,
+    version: u64,
+}
+
+/// What is asked of discovery, and what was heard.
 #[derive(Debug, Default)]
 struct Watch {
-    /// Wanted at all, and the number of the one that is open or was last.
+    /// Wanted at all, and the one that is open.
     wanted: bool,
-    open: bool,
+    open: Option<Ask>,
+    /// The number last given: watches and fetches have them in turn, so that none is taken for another.
     number: u64,
     /// One at an address that discovery has left: kept until another is answered, so that nothing told
     /// meanwhile is missed.
-    former: Option<u64>,
+    former: Option<Ask>,
+    fetch: Option<Ask>,
     /// The version held; the whole list is needed before the next watch.
     version: u64,
     gap: bool,
+    /// An older list than the one held was told: when the whole list is asked for, to be taken as it stands.
+    doubted: Option<Time>,
     failures: u32,
     again: Option<Time>,
 }
 
+impl Watch {
+    fn ask(&mut self) -> Ask {
+        self.number += 1;
+        Ask { number: self.number, version: self.version }
+    }
+}
+
+/// Takes out what was asked under a number.
+fn take(ask: &mut Option<Ask>, number: u64) -> Option<Ask> {
+    ask.take_if(|ask| ask.number == number)
+}
+
 /// What the reducer starts from.
 pub struct Start {
     pub mandate: Mandate,
@@ -61,8 +85,9 @@
     places: usize,
     /// What a message counts in the channel beside its lines.
     head: f64,
-    /// Those that have not joined, and since when they are here.
+    /// Those that have not joined, and since when they are here; and those of them that are being dismissed.
     strangers: BTreeMap<ConnId, Time>,
+    dismissed: BTreeSet<ConnId>,
     /// The roster speaks only when the module asks.
     asked: bool,
     watch: Watch,
@@ -93,6 +118,7 @@
             places: start.places,
             head,
             strangers: BTreeMap::new(),
+            dismissed: BTreeSet::new(),
             asked,
             watch: Watch { wanted: !asked, ..Watch::default() },
             settled: 0,
@@ -220,8 +246,9 @@
             self.counters.add("datagrams ordered", tells as u64);
         }
         self.effects.extend(orders);
-        let again = self.watch.again;
-        let wake = self.ordered.bells.first().copied().into_iter().chain(again).chain(self.dismissal()).min();
+        let (again, doubted) = (self.watch.again, self.watch.doubted);
+        let wake = self.ordered.bells.first().copied().into_iter().chain(again).chain(doubted);
+        let wake = wake.chain(self.dismissal()).min();
         self.effects.extend(wake.map(Effect::Wake));
         std::mem::take(&mut self.effects)
     }
@@ -252,7 +279,8 @@
 
     /// Strangers leave some places free; where those that joined have taken nearly all, half of what is left.
     fn crowded(&self) -> bool {
-        let left = self.places.saturating_sub(self.conns.len() - self.strangers.len());
+        let joined = self.conns.len().saturating_sub(self.strangers.len() + self.dismissed.len());
+        let left = self.places.saturating_sub(joined);
         let free = self.places / limits::SOCKETS_FREE_PART;
         self.strangers.len() > left.saturating_sub(free).max(left / 2)
     }
@@ -263,7 +291,7 @@
         self.strangers.first_key_value().map(|(_, since)| *since + patience)
     }
 
-    /// Ends those that have had their time to join; who only asked for a sign of life has had the answer.
+    /// Dismisses those that have had their time to join; who only asked for a sign of life has had the answer.
     fn dismiss(&mut self) {
         while self.dismissal().is_some_and(|due| due <= self.now) {
             let counter = if self.crowded() { "strangers ended for room" } else { "strangers ended in time" };
@@ -272,12 +300,18 @@
         }
     }
 
-    /// Ends connections that have not joined, the oldest first, once their first message can have come.
+    /// Dismisses connections that have not joined, the oldest first, once their first message can have come.
+    /// Whoever reads them ends them, unless they have joined by then: what came may not have been heard yet, as
+    /// after a stall, and a proxy turned away has no other conductor to answer for it.
     fn end_oldest(&mut self, count: usize) {
         let old = |(_, since): &(&ConnId, &Time)| **since + limits::NEWCOMER <= self.now;
         let oldest: Vec<ConnId> =
             self.strangers.iter().take_while(old).take(count).map(|(conn, _)| *conn).collect();
-        oldest.into_iter().for_each(|conn| self.drop_conn(conn));
+        for conn in oldest {
+            self.strangers.remove(&conn);
+            self.dismissed.insert(conn);
+            self.effects.push(Effect::Dismiss(conn));
+        }
     }
 
     fn said(&mut self, conn: ConnId, said: Said) {
@@ -296,8 +330,15 @@
                 self.name(conn, Party::Collector);
             }
             (Said::Joined { proxy, zone, rate, fresh, anew, tags }, Party::Stranger) => {
+                let held = self.ordered.streams.get(&proxy).map(|stream| stream.conn);
+                if held.is_some_and(|held| held > conn) {
+                    // The greeting of a connection given up since, late: the newer one is the proxy's stream,
+                    // whichever is heard last.
+                    self.counters.add("streams overtaken", 1);
+                    return self.drop_conn(conn);
+                }
                 self.counters.add("streams opened", 1);
-                if let Some(old) = self.ordered.streams.get(&proxy).map(|stream| stream.conn) {
+                if let Some(old) = held {
                     // Dialled anew before the old end was seen: the old one is over.
                     self.counters.add("streams replaced", 1);
                     self.drop_conn(old);
@@ -358,6 +399,7 @@
 
     fn name(&mut self, conn: ConnId, party: Party) {
         self.strangers.remove(&conn);
+        self.dismissed.remove(&conn);
         if let Some(known) = self.conns.get_mut(&conn) {
             known.0 = party;
         }
@@ -370,6 +412,7 @@
         match ending {
             Ending::Closed => self.counters.add("connections closed", 1),
             Ending::Broken => self.counters.add("connections broken", 1),
+            Ending::Dismissed => self.counters.add("strangers ended", 1),
             Ending::Unread => {
                 return self.fault(conn, "faults: unread", "too much is left unread");
             }
@@ -394,6 +437,7 @@
 
     fn drop_conn(&mut self, conn: ConnId) {
         self.strangers.remove(&conn);
+        self.dismissed.remove(&conn);
         self.effects.push(Effect::End(conn));
         if let Some((Party::Proxy(proxy), _)) = self.conns.remove(&conn) {
             let own = self.ordered.streams.get(&proxy).is_some_and(|stream| stream.conn == conn);
@@ -448,41 +492,82 @@
         self.complain(format!("discovery: from {} to {address}", self.discovery));
         self.discovery = address;
         self.effects.push(Effect::Discovery(address));
-        if std::mem::take(&mut self.watch.open) {
+        if let Some(open) = self.watch.open.take() {
             // Of two in a row that were never answered, only the first is worth keeping.
             match self.watch.former {
-                Some(_) => self.effects.push(Effect::Unwatch(self.watch.number)),
-                None => self.watch.former = Some(self.watch.number),
+                Some(_) => self.effects.push(Effect::Unwatch(open.number)),
+                None => self.watch.former = Some(open),
             }
         }
+        // A list that the address left may still send would come after newer ones.
+        self.let_go(|watch| &mut watch.fetch);
         (self.watch.failures, self.watch.again) = (0, None);
     }
 
+    fn let_go(&mut self, which: impl Fn(&mut Watch) -> &mut Option<Ask>) {
+        let ended = which(&mut self.watch).take().map(|ask| Effect::Unwatch(ask.number));
+        self.effects.extend(ended);
+    }
+
     fn watching(&mut self, number: u64) {
-        if self.watch.open && number == self.watch.number {
-            self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
+        if self.watch.open.is_some_and(|open| open.number == number) {
+            self.let_go(|watch| &mut watch.former);
         }
     }
 
-    fn news(&mut self, number: Option<u64>, news: News) {
-        let current = |number| self.watch.open && number == self.watch.number;
-        let former = number.is_some() && number == self.watch.former;
-        if number.is_some_and(|number| !current(number) && !former) {
-            return self.counters.add("news of ended watches", 1);
-        }
+    fn news(&mut self, number: u64, news: News) {
         if news.unreadable > 0 {
             self.counters.add("entries unreadable", news.unreadable as u64);
             self.complain(format!("discovery: {} entries can't be read", news.unreadable));
         }
-        if !news.whole && news.version < self.watch.version {
-            // What lies between is not known: the list held stands until the whole one comes.
-            self.counters.add("false versions", 1);
-            if former {
-                return self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
+        let (version, held) = (news.version, self.watch.version);
+        if let Some(fetch) = take(&mut self.watch.fetch, number) {
+            self.effects.push(Effect::Unwatch(number));
+            if version >= held {
+                (self.watch.gap, self.watch.doubted) = (false, None);
+                self.take_news(news);
+            } else if held > fetch.version {
+                // Older than what was heard meanwhile: the next need not be.
+                self.counters.add("lists overtaken", 1);
+                let again = Some(self.now + limits::RECONNECT_FIRST);
+                (self.watch.again, self.watch.doubted) =
+                    if self.watch.gap { (again, None) } else { (self.watch.again, again) };
+                return;
+            } else {
+                self.watch.gap = false;
+                self.take_older(news);
+            }
+            if self.watch.wanted && self.watch.open.is_none() {
+                self.watch.again = Some(self.now);
             }
-            self.watch.gap = true;
-            return self.end_watch("a version before the one held");
+            return;
         }
+        let asked = [&mut self.watch.open, &mut self.watch.former].into_iter().flatten();
+        let Some(asked) = asked.into_iter().find(|asked| asked.number == number) else {
+            return self.counters.add("news of ended watches", 1);
+        };
+        let back = version < std::mem::replace(&mut asked.version, version);
+        let former = self.watch.former.is_some_and(|former| former.number == number);
+        match (back, news.whole) {
+            (false, _) if version >= held => self.take_news(news),
+            // Another watch has told it already, and what came after it.
+            (false, _) => self.counters.add("news heard before", 1),
+            (true, _) if former => {
+                self.counters.add("false versions", 1);
+                self.let_go(|watch| &mut watch.former);
+            }
+            (true, true) => self.take_older(news),
+            (true, false) => {
+                // What lies between is not known: the list held stands until the whole one comes.
+                self.counters.add("false versions", 1);
+                self.watch.gap = true;
+                self.end_watch("a version before the one held");
+            }
+        }
+    }
+
+    /// News no older than what is held.
+    fn take_news(&mut self, news: News) {
         self.counters.add(if news.whole { "whole lists" } else { "changes of the list" }, 1);
         (self.watch.version, self.watch.failures) = (news.version, 0);
         let listings = self.listings(&news.entries);
@@ -494,30 +579,51 @@
         } else {
             self.balance.roster_changed(self.now, &listings, &mut self.ordered);
         }
-        if number.is_none() {
-            self.watch.gap = false;
-            if self.watch.wanted && !self.watch.open {
-                self.watch.again = Some(self.now);
-            }
-        }
     }
 
-    fn news_ended(&mut self, number: Option<u64>, cause: &str) {
-        if number.is_some() && number == self.watch.former {
+    /// A whole list older than the one held: kept by somebody on the way, or discovery has truly gone back. The
+    /// one must not undo a drain nor drop what was told since; the other is taken as it stands once it still
+    /// says so after the time in which all that was to be told counts as told.
+    fn take_older(&mut self, news: News) {
+        self.counters.add("older lists", 1);
+        self.complain(format!("discovery: version {} after {}", news.version, self.watch.version));
+        (self.watch.version, self.watch.failures) = (news.version, 0);
+        let (look, _) = self.look();
+        let shut: BTreeSet<NodeId> =
+            look.nodes.iter().filter(|node| !node.open).map(|node| node.node).collect();
+        let listings = self.listings(&news.entries);
+        let still = |listing: &Listing| listing.standing != Standing::Ready || !shut.contains(&listing.node);
+        let listings: Vec<Listing> = listings.into_iter().filter(still).collect();
+        self.balance.roster_changed(self.now, &listings, &mut self.ordered);
+        self.watch.doubted = Some(self.now + limits::TOLD_LATEST);
+    }
+
+    fn news_ended(&mut self, number: u64, cause: &str) {
+        if take(&mut self.watch.former, number).is_some() {
             self.counters.add("watches ended", 1);
-            self.watch.former = None;
-        } else if number.is_none() || number == Some(self.watch.number) && self.watch.open {
+            self.effects.push(Effect::Unwatch(number));
+        } else if take(&mut self.watch.fetch, number).is_some() {
+            self.effects.push(Effect::Unwatch(number));
+            self.fetch_failed(cause);
+        } else if self.watch.open.is_some_and(|open| open.number == number) {
             self.end_watch(cause);
         }
     }
 
+    /// The whole list did not come. Where a watch stands all the same, it goes on.
+    fn fetch_failed(&mut self, cause: &str) {
+        if self.watch.gap {
+            return self.end_watch(cause);
+        }
+        self.complain(format!("discovery: {cause}"));
+        self.watch.doubted = Some(self.now + limits::TOLD_LATEST);
+    }
+
     /// The watch is over, or the whole list did not come: tried again after a while.
     fn end_watch(&mut self, cause: &str) {
         self.counters.add("watches ended", 1);
         self.complain(format!("discovery: {cause}"));
-        if std::mem::take(&mut self.watch.open) {
-            self.effects.push(Effect::Unwatch(self.watch.number));
-        }
+        self.let_go(|watch| &mut watch.open);
         let wait = limits::RECONNECT_FIRST.0 << self.watch.failures.min(limits::RECONNECT_DOUBLINGS);
         self.watch.failures = self.watch.failures.saturating_add(1);
         let wait = Time((wait as f64 * (0.5 + self.chance.f64())) as u64);
@@ -533,26 +639,36 @@
     /// Opens the watch where it should be open and is not.
     fn follow(&mut self) {
         if let Some(on) = self.ordered.watched.take() {
-            if !on && std::mem::take(&mut self.watch.open) {
-                self.effects.push(Effect::Unwatch(self.watch.number));
-            }
             if !on {
-                self.effects.extend(self.watch.former.take().map(Effect::Unwatch));
+                self.let_go(|watch| &mut watch.open);
+                self.let_go(|watch| &mut watch.former);
             }
             (self.watch.wanted, self.watch.again) = (on, None);
         }
-        if !self.watch.wanted || self.watch.open || self.watch.again.is_some_and(|at| self.now < at) {
+        if std::mem::take(&mut self.ordered.fetched) || self.watch.doubted.is_some_and(|at| at <= self.now) {
+            self.watch.doubted = None;
+            self.fetch();
+        }
+        let open = self.watch.open.is_some();
+        if !self.watch.wanted || open || self.watch.again.is_some_and(|at| self.now < at) {
             return;
         }
         if self.watch.gap {
-            self.effects.push(Effect::Fetch);
             self.watch.again = Some(self.now + limits::FETCH_LONGEST);
-            return;
+            return self.fetch();
         }
         self.watch.again = None;
-        self.watch.open = true;
-        self.watch.number += 1;
+        let asked = self.watch.ask();
+        self.watch.open = Some(asked);
         self.counters.add("watches opened", 1);
-        self.effects.push(Effect::Watch { number: self.watch.number, since: self.watch.version });
+        self.effects.push(Effect::Watch { number: asked.number, since: asked.version });
+    }
+
+    /// Asks for the whole list; one asked for before is given up.
+    fn fetch(&mut self) {
+        self.let_go(|watch| &mut watch.fetch);
+        let asked = self.watch.ask();
+        self.watch.fetch = Some(asked);
+        self.effects.push(Effect::Fetch(asked.number));
     }
 }
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -99,8 +99,10 @@
         for (k, (what, which, how)) in steps.into_iter().enumerate() {
             let (proxy, table) = (u16::from(which) % PROXIES, u16::from(how) % 2);
             let node = nodes[usize::from(which) % nodes.len()];
-            let classes = Classes(u16::from(how / 2) % 4);
-            let meant = |class: usize| classes.0 == 0 || classes.0 & (1 << class) != 0;
+            let named = (0..2).filter(|class| (how / 2) & (1 << class) != 0).map(ClassId);
+            let classes = Classes(named.collect());
+            let named = classes.0.clone();
+            let meant = |class: usize| named.is_empty() || named.contains(&ClassId(class as u16));
             match what % 8 {
                 0 => {
                     ordered.join(ProxyId(proxy), ConnId(k as u64), false);
@@ -268,6 +270,8 @@
     effects: Vec<Effect>,
     /// Lines written that have entered the channel since the last turn.
     entered: f64,
+    /// What connections say waits to be read, so that those dismissed do not end yet.
+    unread: bool,
 }
 
 impl Desk {
@@ -282,7 +286,7 @@
         };
         let (memory, effects) = Memory::begin(Time(1_000_000), start);
         let (written, alive, ended) = Default::default();
-        Desk { memory, now: Time(1_000_000), written, alive, ended, effects, entered: 0.0 }
+        Desk { memory, now: Time(1_000_000), written, alive, ended, effects, entered: 0.0, unread: false }
     }
 
     /// Lets a span pass, the bell ringing every 50 ms.
@@ -294,6 +298,7 @@
         self.now = self.now + Time::from_ms(ms);
         let entered = Input::Entered(std::mem::take(&mut self.entered));
         let effects = self.memory.turn(self.now, inputs.into_iter().chain([entered, Input::Bell]));
+        let mut dismissed = Vec::new();
         for effect in &effects {
             match effect {
                 Effect::Order(to, message) => {
@@ -305,10 +310,17 @@
                 }
                 Effect::Alive(conn) => *self.alive.entry(*conn).or_default() += 1,
                 Effect::End(conn) => _ = self.ended.insert(*conn),
+                // Whoever reads it has heard all, and ends it.
+                Effect::Dismiss(conn) if !self.unread => {
+                    dismissed.push(Input::Ended(*conn, Ending::Dismissed));
+                }
                 _ => {}
             }
         }
         self.effects.extend(effects);
+        if !dismissed.is_empty() {
+            self.turn(0, dismissed);
+        }
     }
 
     fn open(&mut self, conn: u64, said: impl IntoIterator<Item = Said>) {
@@ -336,6 +348,14 @@
         plain
     }
 
+    fn fetches(&self) -> Vec<u64> {
+        let fetch = |effect: &Effect| match effect {
+            Effect::Fetch(number) => Some(*number),
+            _ => None,
+        };
+        self.effects.iter().filter_map(fetch).collect()
+    }
+
     fn watches(&self) -> Vec<(u64, u64)> {
         let watch = |effect: &Effect| match effect {
             Effect::Watch { number, since } => Some((*number, *since)),
@@ -353,10 +373,10 @@
     desk.pass(500);
     let table = |desk: &Desk, conn| desk.held(conn).tables["quote"].keys().cloned().collect::<Vec<_>>();
     assert_eq!(table(&desk, 1), ["s-0", "s-1", "s-2"]);
-    desk.turn(1, [Input::News(Some(1), list(6, false, &[3]))]);
+    desk.turn(1, [Input::News(1, list(6, false, &[3]))]);
     desk.turn(
         1,
-        [Input::News(Some(1), News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) })],
+        [Input::News(1, News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) })],
     );
     assert_eq!(
         table(&desk, 1),
@@ -373,7 +393,7 @@
     }
     assert_eq!((desk.counted("marks answered"), desk.counted("marks never ordered")), (1, 3));
     // Back without a new start: the line and the way in come together.
-    desk.turn(1, [Input::News(Some(1), list(8, false, &[1]))]);
+    desk.turn(1, [Input::News(1, list(8, false, &[1]))]);
     desk.pass(500);
     assert_eq!((table(&desk, 1).len(), desk.held(1).out.len()), (4, 0));
 }
@@ -401,7 +421,7 @@
 fn what_another_conductor_shut_out_is_let_back() {
     let mut desk = Desk::new(false);
     let back = Entry { started: Some(Time(10_000)), ..entry(1, Standing::Ready) };
-    desk.turn(1, [Input::News(Some(1), News { entries: vec![back], ..list(6, false, &[]) })]);
+    desk.turn(1, [Input::News(1, News { entries: vec![back], ..list(6, false, &[]) })]);
     desk.open(1, [hello(0)]);
     desk.pass(500);
     let first = &desk.written[&ConnId(1)][0].parts[0];
@@ -521,7 +541,7 @@
     let mut news = |desk: &mut Desk, name: String, standing| {
         version += 1;
         let entry = Entry { node: name, ..entry(0, standing) };
-        desk.turn(1, [Input::News(Some(1), News { entries: vec![entry], ..list(version, false, &[]) })]);
+        desk.turn(1, [Input::News(1, News { entries: vec![entry], ..list(version, false, &[]) })]);
     };
     for k in 0..1_000 {
         news(&mut desk, format!("n-{k}"), Standing::Ready);
@@ -573,17 +593,17 @@
     let mut waits = Vec::new();
     for number in 1..=8 {
         let ended = desk.now;
-        desk.turn(1, [Input::NewsEnded(Some(number), "reset".into())]);
+        desk.turn(1, [Input::NewsEnded(number, "reset".into())]);
         while desk.watches().len() as u64 == number {
             desk.turn(10, []);
         }
         waits.push((desk.now - ended).0 / 10);
     }
     assert!((50..=170).contains(&waits[0]) && (400..=1_300).contains(&waits[7]), "{waits:?}");
-    desk.turn(1, [Input::News(Some(9), list(6, false, &[3]))]);
+    desk.turn(1, [Input::News(9, list(6, false, &[3]))]);
     // The end of an earlier watch, and its news, are nothing to this one.
-    desk.turn(1, [Input::NewsEnded(Some(3), "late".into()), Input::News(Some(3), list(1, true, &[]))]);
-    desk.turn(1, [Input::NewsEnded(Some(9), "reset".into())]);
+    desk.turn(1, [Input::NewsEnded(3, "late".into()), Input::News(3, list(1, true, &[]))]);
+    desk.turn(1, [Input::NewsEnded(9, "reset".into())]);
     desk.pass(300);
     assert_eq!(desk.watches().last(), Some(&(10, 6)));
 }
@@ -604,42 +624,201 @@
     desk.turn(1, [Input::Renewed(Ok((address(3), vec![])))]);
     assert_eq!(desk.watches(), [(1, 5), (2, 5), (3, 5)]);
     assert!(unwatched(&desk, 2) && !unwatched(&desk, 1));
-    desk.turn(1, [Input::News(Some(1), list(6, false, &[3])), Input::Watching(2)]);
-    desk.turn(1, [Input::NewsEnded(Some(3), "refused".into())]);
+    desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::Watching(2)]);
+    desk.turn(1, [Input::NewsEnded(3, "refused".into())]);
     desk.pass(200);
     assert_eq!(desk.watches().last(), Some(&(4, 6)));
     assert!(!unwatched(&desk, 1));
-    desk.turn(1, [Input::Watching(4), Input::News(Some(1), list(7, false, &[4]))]);
+    desk.turn(1, [Input::Watching(4), Input::News(1, list(7, false, &[4]))]);
     assert!(unwatched(&desk, 1));
-    desk.turn(1, [Input::News(Some(4), list(7, false, &[5]))]);
+    desk.turn(1, [Input::News(4, list(7, false, &[5]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-1", "s-2", "s-3", "s-5"]);
     assert!(desk.ended.is_empty());
     assert_eq!((desk.counted("configurations refused"), desk.counted("configurations read anew")), (1, 3));
     // The old address ends its watch by itself: no cause to dial the new one again.
-    desk.turn(1, [Input::Renewed(Ok((address(4), vec![]))), Input::NewsEnded(Some(4), "closed".into())]);
+    desk.turn(1, [Input::Renewed(Ok((address(4), vec![]))), Input::NewsEnded(4, "closed".into())]);
     desk.pass(500);
     assert_eq!(desk.watches().len(), 5);
 }
 
-/// Guards against what lies between two versions being lost: the whole list is taken before the next watch.
+/// Guards against what lies between two versions being lost: the whole list is taken before the next watch. What
+/// an older list says is not taken as it stands at once, but where discovery still says so after the time in which
+/// all counts as told.
 #[test]
 fn a_false_version_leads_to_the_whole_list() {
     let mut desk = Desk::new(false);
-    desk.turn(1, [Input::News(Some(1), list(2, false, &[7]))]);
+    desk.turn(1, [Input::News(1, list(2, false, &[7]))]);
     assert!(desk.effects.contains(&Effect::Unwatch(1)));
     desk.pass(300);
-    assert!(desk.effects.contains(&Effect::Fetch));
+    assert_eq!(desk.fetches(), [2]);
     assert_eq!(desk.watches().len(), 1);
-    desk.turn(1, [Input::NewsEnded(None, "half a document".into())]);
+    desk.turn(1, [Input::NewsEnded(2, "half a document".into())]);
     desk.pass(500);
-    assert_eq!(desk.effects.iter().filter(|effect| **effect == Effect::Fetch).count(), 2);
-    desk.turn(1, [Input::News(None, list(3, true, &[0, 4]))]);
+    assert_eq!(desk.fetches(), [2, 3]);
+    desk.turn(1, [Input::News(3, list(3, true, &[0, 4]))]);
     desk.pass(100);
-    assert_eq!(desk.watches().last(), Some(&(2, 3)));
+    assert_eq!(desk.watches().last(), Some(&(4, 3)));
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-1", "s-2", "s-4"]);
+    desk.pass(limits::TOLD_LATEST.0 / 10);
+    assert_eq!((desk.fetches(), desk.watches().len()), (vec![2, 3, 5], 2));
+    desk.turn(1, [Input::News(5, list(3, true, &[0, 4]))]);
+    desk.pass(500);
+    let held = desk.held(1);
+    let left: Vec<&String> = held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).collect();
+    assert_eq!(left, ["s-0", "s-4"]);
+    desk.pass(2 * limits::TOLD_LATEST.0 / 10);
+    assert_eq!(desk.fetches().len(), 3);
+}
+
+/// Guards against an older list, kept by somebody on the way, undoing a drain or dropping what was told since.
+#[test]
+fn an_older_list_neither_undoes_a_drain_nor_drops_a_node() {
+    let drain = |version, standing| News { entries: vec![entry(1, standing)], ..list(version, false, &[]) };
+    for watched in [true, false] {
+        let mut desk = Desk::new(false);
+        desk.open(1, [hello(0)]);
+        desk.pass(500);
+        desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::News(1, drain(8, Standing::Draining))]);
+        desk.pass(500);
+        let open = |desk: &Desk| -> Vec<String> {
+            let held = desk.held(1);
+            held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).cloned().collect()
+        };
+        assert_eq!(open(&desk), ["s-0", "s-2", "s-3"]);
+        let old = list(5, true, &[0, 1, 2, 4]);
+        if watched {
+            desk.turn(1, [Input::News(1, old)]);
+        } else {
+            desk.turn(1, [Input::News(1, list(7, false, &[]))]);
+            desk.pass(300);
+            assert_eq!(desk.fetches(), [2]);
+            desk.turn(1, [Input::News(2, old)]);
+        }
+        desk.pass(500);
+        assert_eq!(open(&desk), ["s-0", "s-2", "s-3", "s-4"]);
+        // What came after it is told again, and the list as it stands is asked for in the end.
+        let number = desk.watches().last().expect("a watch").0;
+        assert_eq!(number, if watched { 1 } else { 3 });
+        desk.turn(1, [Input::News(number, drain(8, Standing::Draining))]);
+        desk.pass(limits::TOLD_LATEST.0 / 10);
+        assert_eq!(open(&desk), ["s-0", "s-2", "s-3", "s-4"]);
+        let fetch = *desk.fetches().last().expect("a fetch");
+        desk.turn(1, [Input::News(fetch, list(9, true, &[0, 1, 2, 4]))]);
+        desk.pass(500);
+        assert_eq!(open(&desk), ["s-0", "s-1", "s-2", "s-4"]);
+        assert_eq!((desk.counted("older lists"), desk.ended.len()), (1, 0));
+    }
+}
+
+/// Guards against a list that was fetched before a drain was told being taken after it.
+#[test]
+fn a_fetched_list_overtaken_by_news_is_asked_for_again() {
+    let mut desk = Desk::new(false);
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    // Discovery moves; the new one is behind and says so by a version that can't be.
+    desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
+    desk.turn(1, [Input::News(2, list(4, false, &[]))]);
+    desk.pass(300);
+    assert_eq!(desk.fetches(), [3]);
+    let drain = News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
+    desk.turn(1, [Input::News(1, drain), Input::News(3, list(5, true, &[0, 1, 2]))]);
+    desk.pass(300);
+    let held = desk.held(1);
+    assert!(!held.tables["quote"].contains_key("s-1") || held.out.contains("s-1"));
+    assert_eq!((desk.counted("lists overtaken"), desk.fetches().len()), (1, 2));
+    let fetch = *desk.fetches().last().expect("a fetch");
+    desk.turn(1, [Input::News(fetch, list(7, true, &[0, 2]))]);
+    desk.pass(200);
+    assert_eq!(desk.watches().last().map(|watch| watch.1), Some(7));
+}
+
+/// Guards against the end of a fetch, or its list, that was given up being taken for that of another, or for the
+/// watch's: it lay in the inbox when discovery moved or the fetch was asked again.
+#[test]
+fn what_was_given_up_says_nothing_of_what_is_open() {
+    let mut desk = Desk::new(false);
+    desk.turn(1, [Input::News(1, list(2, false, &[]))]);
+    desk.pass(300);
+    assert_eq!(desk.fetches(), [2]);
+    // The fetch fails at the address left, in the same turn in which discovery moves and once the watch stands.
+    desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
+    assert!(desk.effects.contains(&Effect::Unwatch(2)));
+    assert_eq!(desk.fetches(), [2, 3]);
+    desk.turn(1, [Input::NewsEnded(2, "reset".into()), Input::News(2, list(9, true, &[0]))]);
+    assert_eq!((desk.counted("watches ended"), desk.counted("whole lists")), (1, 0));
+    desk.turn(1, [Input::News(3, list(6, true, &[0, 1, 2, 3]))]);
+    desk.pass(50);
+    assert_eq!(desk.watches().last(), Some(&(4, 6)));
+    desk.turn(1, [Input::NewsEnded(3, "late".into()), Input::NewsEnded(2, "late".into())]);
+    desk.turn(1, [Input::News(4, list(7, false, &[4]))]);
+    desk.pass(1_000);
+    assert_eq!((desk.watches().len(), desk.counted("watches ended")), (2, 1));
     desk.open(1, [hello(0)]);
     desk.pass(500);
-    assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-4"]);
+    assert_eq!(desk.held(1).tables["quote"].len(), 5);
+}
+
+/// Guards against news that the former watch has told being taken for a discovery gone back when the new one
+/// repeats them, which cost the watch and a fetch; and against the repeat undoing what came after.
+#[test]
+fn a_new_watch_repeats_what_the_former_told() {
+    let mut desk = Desk::new(false);
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
+    assert_eq!(desk.watches(), [(1, 5), (2, 5)]);
+    let drain = News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
+    desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::News(1, drain)]);
+    desk.turn(1, [Input::Watching(2), Input::News(2, list(6, false, &[1, 3]))]);
+    desk.turn(1, [Input::News(2, list(8, false, &[4]))]);
+    desk.pass(500);
+    let held = desk.held(1);
+    let open: Vec<&String> = held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).collect();
+    assert_eq!(open, ["s-0", "s-2", "s-3", "s-4"]);
+    assert_eq!((desk.watches().len(), desk.fetches().len()), (2, 0));
+    assert_eq!((desk.counted("false versions"), desk.counted("news heard before")), (0, 1));
+}
+
+/// Guards against the greeting of a connection given up since, read last, taking the place of the newer stream:
+/// which is newer is known by the order in which they came.
+#[test]
+fn a_late_greeting_does_not_replace_a_newer_stream() {
+    let mut desk = Desk::new(false);
+    desk.open(1, []);
+    desk.open(2, [hello(0)]);
+    desk.pass(500);
+    desk.say(1, hello(0));
+    assert_eq!(desk.ended, BTreeSet::from([ConnId(1)]));
+    desk.turn(1, [Input::News(1, list(6, false, &[3]))]);
+    desk.pass(500);
+    assert_eq!(desk.held(2).tables["quote"].len(), 4);
+    assert!(!desk.written.contains_key(&ConnId(1)));
+    assert_eq!((desk.counted("streams overtaken"), desk.counted("streams replaced")), (1, 0));
+}
+
+/// Guards against a proxy that is dismissed as a stranger while its greeting waits to be read: it is a proxy once
+/// the greeting is heard, and one that says nothing is ended.
+#[test]
+fn a_greeting_that_waits_wins_over_its_dismissal() {
+    let mut desk = Desk::new(false);
+    desk.unread = true;
+    desk.open(1, []);
+    desk.open(2, []);
+    desk.turn(limits::STRANGER_LONGEST.0 / 10, []);
+    let dismissed = |desk: &Desk, conn| desk.effects.contains(&Effect::Dismiss(ConnId(conn)));
+    assert!(dismissed(&desk, 1) && dismissed(&desk, 2) && !desk.effects.contains(&Effect::End(ConnId(1))));
+    desk.say(1, hello(0));
+    desk.turn(1, [Input::Ended(ConnId(2), Ending::Dismissed)]);
+    desk.pass(500);
+    assert!(
+        desk.effects.contains(&Effect::End(ConnId(2))) && !desk.effects.contains(&Effect::End(ConnId(1)))
+    );
+    assert_eq!(desk.held(1).tables["quote"].len(), 3);
+    assert_eq!((desk.counted("strangers ended"), desk.counted("streams opened")), (1, 1));
 }
 
 /// Guards against one entry that can't be read taking nodes out: what a list with such entries does not name
@@ -647,12 +826,12 @@
 #[test]
 fn a_bad_entry_never_empties_the_list() {
     let mut desk = Desk::new(false);
-    desk.turn(1, [Input::News(Some(1), News { unreadable: 2, ..list(6, true, &[1]) })]);
+    desk.turn(1, [Input::News(1, News { unreadable: 2, ..list(6, true, &[1]) })]);
     desk.open(1, [hello(0)]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].len(), 3);
     assert_eq!(desk.counted("entries unreadable"), 2);
-    desk.turn(1, [Input::News(Some(1), list(7, true, &[1]))]);
+    desk.turn(1, [Input::News(1, list(7, true, &[1]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].len(), 1);
 }
@@ -662,7 +841,7 @@
 fn an_asked_roster_is_asked_by_the_module() {
     let mut desk = Desk::new(true);
     assert_eq!(desk.watches(), [(1, 5)]);
-    desk.turn(1, [Input::NewsEnded(Some(1), "refused".into())]);
+    desk.turn(1, [Input::NewsEnded(1, "refused".into())]);
     desk.pass(5_000);
     assert_eq!(desk.watches().last(), Some(&(2, 5)));
 }
@@ -701,7 +880,7 @@
 fn generated_inputs_are_survived_and_replayed() {
     fn input((what, which, how): (u8, u8, u8)) -> Input {
         let (conn, proxy, zone) = (ConnId(u64::from(which % 12)), ProxyId((how % 4).into()), ZoneId(0));
-        let number = Some(u64::from(how % 3));
+        let number = u64::from(how % 4);
         let class = ClassId(u16::from(how % 2));
         let (tries, lost, time) = (u32::from(how), u32::from(how / 2), Time(u64::from(which) * 100));
         match what % 16 {
@@ -725,7 +904,7 @@
                 let entries = vec![entry(which % 8, standing)];
                 Input::News(number, News { entries, ..list(100 + u64::from(which), false, &[]) })
             }
-            13 => Input::NewsEnded(number.filter(|number| *number > 0), "cause".into()),
+            13 => Input::NewsEnded(number, "cause".into()),
             14 if how % 2 == 0 => Input::Peer(None),
             14 if how % 3 == 0 => Input::Renewed(Ok((address(which.into()), vec![]))),
             14 if how % 5 == 0 => Input::Watching(how.into()),
--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -222,6 +222,9 @@
         let charge = oatpitch_mandate::from_pairs(from.bytes(length as usize)?)?;
         from.end()?;
         let (mandate, columns) = (charge.mandate, charge.columns);
+        if mandate.exchanges.len() > u16::BITS as usize {
+            bail!("settings: classes.count: the wire names {} classes at most", u16::BITS);
+        }
         let (classes, zones) = (mandate.exchanges.len() as u16, mandate.zones);
         let balance = Balance::begin(now, mandate, seed, &mut reply.of(conductor));
         self.born.insert(conductor, Hosted { balance, classes, zones, columns });
--- a/crates/wirehost/src/reply.rs
+++ b/crates/wirehost/src/reply.rs
@@ -56,6 +56,11 @@
     }
 }
 
+/// Bit k for class k, none for all; a start with more classes than bits is refused.
+fn bits(classes: &Classes) -> u16 {
+    classes.0.iter().filter_map(|class| 1u16.checked_shl(class.0.into())).sum()
+}
+
 fn put_node(to: &mut Vec<u8>, node: NodeId) {
     to.put_slice(&node.0);
     to.put_u16(node.1);
@@ -125,13 +130,13 @@
         self.record(75, |to| {
             to.put_u16(proxy.0);
             to.put_u16(table.0);
-            to.put_u16(classes.0);
+            to.put_u16(bits(&classes));
         });
     }
 
     fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64) {
         self.record(76, |to| {
-            to.put_u16(classes.0);
+            to.put_u16(bits(&classes));
             to.put_u16(table.map_or(u16::MAX, |table| table.0));
             to.put_u8(match tries {
                 FurtherTries::None => 0,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -202,7 +202,7 @@
 
 impl Balance {
     pub fn begin(now: Time, mandate: Mandate, seed: u64, orders: To) -> Balance {
-        let (book, amounts) = (Book::new(&mandate), vec![ALL_IN; mandate.exchanges.len()]);
+        let (book, amounts) = (Book::new(&mandate, seed), vec![ALL_IN; mandate.exchanges.len()]);
         let mut balance = Balance {
             now,
             chance: Chance::new(seed),
@@ -385,7 +385,8 @@
     /// The parts of a table of so many nodes, and from how many zones each is seen.
     fn parts(&self, nodes: usize) -> (u16, u16) {
         let held = (self.conns_least * CONN_SHARE).max(1.0);
-        let parts = (f64::from(self.proxies) / held).ceil().min((nodes / PART_LEAST) as f64) as u16;
+        let most = (nodes / PART_LEAST).min(usize::from(u16::MAX / self.zones)); // each view has a number
+        let parts = (f64::from(self.proxies) / held).ceil().min(most as f64) as u16;
         if parts > 1 { (parts, self.zones) } else { (1, 1) }
     }
 
--- a/src/book.rs
+++ b/src/book.rs
@@ -61,9 +61,11 @@
 }
 
 impl Book {
-    pub fn new(mandate: &Mandate) -> Book {
+    /// Numbers of marks begin by the seed, new with each life: proxies still answer those of an earlier life, or of
+    /// another conductor, and all began with the same.
+    pub fn new(mandate: &Mandate, seed: u64) -> Book {
         let (usual, backlog, way) = (mandate.channel_pace, mandate.backlog, mandate.way_longest);
-        Book { usual, backlog, way, pace: usual, ..Book::default() }
+        Book { usual, backlog, way, pace: usual, number: seed as u16, ..Book::default() }
     }
 
     pub fn pace(&self) -> f64 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,7 @@
 //! What a host and the decision module say to each other: ids, times, the mandate that is read once at
 //! start, and [`Orders`], through which the module answers. No decision is taken here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display, Formatter};
 use std::ops::{Add, Sub};
 
@@ -69,13 +69,13 @@
     }
 }
 
-/// A set of classes, bit k for class k; none named means all.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Classes(pub u16);
+/// A set of classes; none named means all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Classes(pub BTreeSet<ClassId>);
 
 impl Classes {
     pub fn of(class: ClassId) -> Classes {
-        Classes(1u16.checked_shl(class.0.into()).unwrap_or(0))
+        Classes(BTreeSet::from([class]))
     }
 }
 
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -220,8 +220,9 @@
 
     fn level(&mut self, table: Option<TableId>, classes: Classes, tries: FurtherTries, amount: f64) {
         assert!(amount > 0.0);
-        self.tries.insert(classes.0, tries);
-        self.amounts.insert(classes.0, amount);
+        let bits = classes.0.iter().map(|class| 1 << class.0).sum();
+        self.tries.insert(bits, tries);
+        self.amounts.insert(bits, amount);
         self.bound_get(table, 1.0);
     }
 
