Classes that keep to their zone have tables of warm nodes of that zone alone

Settings name such classes (specifics.home_only); crates/mandate never read the key, and Balance::bind put every class on the one view of a part, in which nodes of all zones stand. Proxies do as the table says.

Change: ExchangeTerms::home; such a class is bound to a table by group of parts and zone, in which only nodes of that zone stand that are warm (rule 1 asks for no others, and a cold one might get all of its zone's). A group has as many parts as give it PART_LEAST nodes of a zone: no new constant. Proxies whose group has none left are bound elsewhere, as with a bare part. A node listed in another zone than before leaves the former's tables.

--- a/crates/conductor/tests/crossings.rs
+++ b/crates/conductor/tests/crossings.rs
@@ -214,10 +214,12 @@
     config["settings"]["specifics"]["egress_per_s"] = json!(1_000_000);
     config["settings"]["specifics"]["pending_max"] = json!(10_000_000);
     let conductor = Conductor::start("stop", &config);
-    let mut proxies: Vec<Party> = (0..2_000).map(|_| conductor.dial()).collect();
-    for (k, proxy) in proxies.iter_mut().enumerate() {
-        proxy.hello(k as u16);
-    }
+    let join = |k| {
+        let mut proxy = conductor.dial();
+        proxy.hello(k);
+        proxy
+    };
+    let mut proxies: Vec<Party> = (0..2_000).map(join).collect();
     proxies.iter_mut().for_each(|proxy| _ = proxy.hear_until(whole));
     conductor.hold();
     lines.send(list(6, false, &[target("s-1", "leaving"), target("s-3", "active")])).expect("watched");
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -223,7 +223,14 @@
 }
 
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
-    let count: u16 = at.value("classes.count")?;
+    let (count, key) = (at.value::<u16>("classes.count")?, "specifics.home_only");
+    // Where no class keeps to its zone, the key may be missing.
+    let home: Vec<&str> = if at.0.contains_key(key) { at.list(key)?.collect() } else { Vec::new() };
+    if !home.is_empty() && home.len() != usize::from(count)
+        || home.iter().any(|word| word.parse::<bool>().is_err())
+    {
+        bail!("settings: {key} is no list of true or false for each class: {}", home.join(","));
+    }
     (0..count)
         .map(|k| {
             let key = |name: &str| format!("classes.{k}.{name}");
@@ -244,6 +251,7 @@
                 cut_off: at.time(&key("deadline_us"))?,
                 gain: at.figure(&key("worth"))?,
                 repeat,
+                home: home.get(usize::from(k)) == Some(&"true"),
             })
         })
         .collect()
@@ -301,7 +309,7 @@
             specifics.pending_max=8900.0\nspecifics.reloads_max=0\nspecifics.update_window_us=10000000\n\
             specifics.push_delay_us=478000\nspecifics.push_delay_max_us=1195000\nspecifics.strikes=5\n\
             specifics.data_plane_size=12\nspecifics.min_conn_cap=121.0\n\
-            specifics.blackhole_us=3100000\nspecifics.cycle_us=1000000\n";
+            specifics.blackhole_us=3100000\nspecifics.cycle_us=1000000\nspecifics.home_only=false,true\n";
         let (nested, pairs) =
             (from_json(&nested).expect("nested"), from_pairs(pairs.as_bytes()).expect("pairs"));
         assert_eq!(format!("{:?}", nested.mandate), format!("{:?}", pairs.mandate));
@@ -326,6 +334,11 @@
             (serde_json::json!({"azs": [["a"]]}), "azs is a list of neither kind"),
             (serde_json::json!({"azs": ["a"], "discovery": 7}), "discovery has an unknown value"),
             (serde_json::json!({"azs": ["a"], "discovery": "push", "report": {}}), "report.how is missing"),
+            (
+                serde_json::json!({"azs": ["a"], "discovery": "push", "report": {"how": "silent"},
+                    "classes": [{"name": "a"}, {"name": "b"}], "specifics": {"home_only": [true]}}),
+                "specifics.home_only is no list of true or false for each class: true",
+            ),
         ] {
             let trouble = from_json(&settings).expect_err(expected);
             assert!(trouble.to_string().contains(expected), "{trouble} lacks: {expected}");
--- a/crates/standins/src/mandate.rs
+++ b/crates/standins/src/mandate.rs
@@ -10,6 +10,7 @@
         cut_off: Time::from_ms(4_000),
         gain: 1.0,
         repeat,
+        home: false,
     };
     Mandate {
         exchanges: vec![terms(1_000, Repeat::Safe), terms(400, Repeat::Never)],
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,8 +12,10 @@
 
 mod channel;
 mod look;
+mod table;
 
 use channel::Channel;
+use table::Home;
 
 // ---- Constants ----
 
@@ -125,10 +127,13 @@
     /// Its parts, and the zones that each is seen from.
     parts: u16,
     views: u16,
+    homes: u16, // groups of parts, by which classes that keep to their zone have tables; 0 where none does
     seen: BTreeSet<ZoneId>, // zones with proxies here, whose views are laid
     /// Its lines, and each part's ways of trying again and levels by class, as they were pushed.
     lines: BTreeMap<NodeId, f64>,
     levels: BTreeMap<u16, Vec<(FurtherTries, f64)>>,
+    kept: BTreeSet<NodeId>, // nodes with lines for such classes; and those listed in another zone, with where
+    moved: Vec<(NodeId, Home)>,
     buffer: BTreeMap<NodeId, f64>, // changes that wait for a flush, and since when any does
     opened: Option<Time>,
     small: bool, // all of them are small, and when such may go
@@ -184,6 +189,8 @@
 
 type To<'a> = &'a mut dyn Orders;
 
+type Loads = BTreeMap<u16, (f64, f64)>;
+
 type Rule = fn(&mut Balance, To) -> bool;
 
 /// The logic, in order: each rule a condition and an effect, true if it fired.
@@ -249,7 +256,7 @@
     /// The first nodes told, as a whole list or as changes since nothing, settle the parts.
     fn cut(&mut self, nodes: usize) {
         if self.snapshot.is_empty() && !self.proxies.values().any(|proxy| proxy.holds) {
-            (self.table.parts, self.table.views) = self.mandate.parts(nodes);
+            (self.table.parts, self.table.views, self.table.homes) = self.mandate.parts(nodes);
             self.table.seen.retain(|_| self.table.views == 1);
         }
     }
@@ -263,6 +270,7 @@
         let barred = self.snapshot.iter().filter(|(id, node)| node.barred.is_some() && !out.contains(id));
         self.channel.barred = barred.map(|(id, _)| *id).collect();
         self.stirred = true;
+        self.show_moved(orders);
     }
 
     pub fn roster_failed(&mut self, now: Time) {
@@ -366,6 +374,8 @@
         }
         // A roster's odd weight must not reach a table.
         node.listed = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
+        let moved = self.table.home(node.part, node.zone).filter(|_| node.zone != entry.zone);
+        self.table.moved.extend(moved.map(|home| (entry.node, home)));
         (node.zone, node.kind) = (entry.zone, entry.kind);
         if node.ease == 0.0 || entry.started > node.started {
             // Reports of an earlier life may still come; a node that is new has none.
@@ -382,12 +392,15 @@
 }
 
 impl Mandate {
-    /// The parts of a table of so many nodes, and from how many zones each is seen.
-    fn parts(&self, nodes: usize) -> (u16, u16) {
+    /// The parts of a table of so many nodes, from how many zones each is seen, and in how many groups they have
+    /// tables for classes that keep to their zone, each with as many nodes as a part has at least.
+    fn parts(&self, nodes: usize) -> (u16, u16, u16) {
         let held = (self.conns_least * CONN_SHARE).max(1.0);
-        let most = (nodes / PART_LEAST).min(usize::from(u16::MAX / self.zones)); // each view has a number
-        let parts = (f64::from(self.proxies) / held).ceil().min(most as f64) as u16;
-        if parts > 1 { (parts, self.zones) } else { (1, 1) }
+        let most = (nodes / PART_LEAST).min(usize::from(u16::MAX / self.zones / 2)); // each view has a number
+        let parts = ((f64::from(self.proxies) / held).ceil().min(most as f64) as u16).max(1);
+        let home = self.zones > 1 && self.exchanges.iter().any(|terms| terms.home);
+        let groups = (nodes / PART_LEAST / usize::from(self.zones)).clamp(1, parts.into()) as u16;
+        (parts, if parts > 1 || home { self.zones } else { 1 }, if home { groups } else { 0 })
     }
 
     fn ramp_span(&self) -> Time {
@@ -431,11 +444,6 @@
 }
 
 impl Balance {
-    /// How a part looks from a zone.
-    fn view(&self, part: u16, zone: ZoneId) -> TableId {
-        TableId(part * self.table.views + zone.0 % self.table.views)
-    }
-
     fn open(&self) -> impl Iterator<Item = (&NodeId, &Node)> {
         self.snapshot.iter().filter(|(_, node)| node.barred.is_none())
     }
@@ -459,6 +467,19 @@
         (warm / listed, (10.0 * stands.sum::<f64>() / listed).ceil().max(1.0) / 10.0)
     }
 
+    /// Whether classes that keep to their zone may use a node: a cold one might get all of its zone's, and rule 1
+    /// asks for warm ones alone.
+    fn keeps(&self, node: &Node) -> bool {
+        let warm = node.started.is_none_or(|at| self.now >= at + self.mandate.warm_up);
+        self.table.homes > 0 && node.barred.is_none() && warm
+    }
+
+    /// Whether a zone's proxies find nodes in a part for all classes, where any part has them.
+    fn serves(table: &Table, part: u16, zone: ZoneId, open: &BTreeSet<Home>) -> bool {
+        let home = table.home(part, zone).filter(|_| open.iter().any(|home| home.1 == zone));
+        home.is_none_or(|home| open.contains(&home))
+    }
+
     fn near(&self, node: &Node, zone: ZoneId) -> f64 {
         let far = (FAR_FEE / self.mandate.crossing_fee).min(FAR);
         if self.table.parts == 1 || node.zone == zone { 1.0 } else { far }
@@ -521,21 +542,6 @@
         wanted.zip(most).map(|(own, most)| (own.0.min(most.0), own.1.min(most.1))).collect()
     }
 
-    /// The weight that proxies may use in each part that has any.
-    fn open_parts(&self) -> BTreeMap<u16, f64> {
-        let mut open = BTreeMap::new();
-        for (id, weight) in self.table.lines.iter().filter(|(id, _)| !self.withdrawn.contains(id)) {
-            let part = self.snapshot.get(id).map_or(0, |node| node.part);
-            *open.entry(part).or_default() += weight;
-        }
-        open
-    }
-
-    /// The table has no line that proxies may use.
-    fn bare(&self) -> bool {
-        self.table.lines.keys().all(|id| self.withdrawn.contains(id))
-    }
-
     /// When the next flush may go, if anything waits for one.
     fn flush_due(&self) -> Option<Time> {
         let opened = self.table.opened.into_iter().chain(self.waits.first().map(|wait| wait.1)).min()?;
@@ -577,58 +583,36 @@
 impl Balance {
     /// What a unit of the weight carries, in each part with a line that proxies may use, and that weight. By
     /// rates alone, a part of which a release has left one node got as many proxies as a whole one.
-    fn loads(&self) -> BTreeMap<u16, (f64, f64)> {
+    fn loads(&self) -> Loads {
         let open = self.open_parts().into_iter();
-        let mut loads: BTreeMap<u16, (f64, f64)> = open.map(|(part, weight)| (part, (0.0, weight))).collect();
+        let mut loads: Loads = open.map(|(part, weight)| (part, (0.0, weight))).collect();
         for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
             loads.get_mut(&proxy.part).into_iter().for_each(|(load, weight)| *load += proxy.rate / *weight);
         }
         loads
     }
 
-    fn bind(&mut self, proxy: ProxyId, lines: f64, loads: &mut BTreeMap<u16, (f64, f64)>, orders: To) {
-        let advised = self.advice.parts.get(&proxy).copied().filter(|part| loads.contains_key(part));
-        let least = loads.iter().min_by(|a, b| a.1.0.total_cmp(&b.1.0)).map(|(part, _)| *part);
-        let least = advised.or(least);
+    fn bind(&mut self, proxy: ProxyId, lines: f64, loads: &mut Loads, open: &BTreeSet<Home>, orders: To) {
+        let (table, advised) = (&self.table, self.advice.parts.get(&proxy).copied());
         let Some(met) = self.proxies.get_mut(&proxy) else { return };
+        let fit = |part: &u16| loads.contains_key(part) && Self::serves(table, *part, met.zone, open);
+        let least = loads.iter().filter(|load| fit(load.0)).min_by(|a, b| a.1.0.total_cmp(&b.1.0));
+        let least = advised.filter(fit).or(least.map(|(part, _)| *part));
         (met.bound, met.holds, met.part) = (true, true, least.unwrap_or_default());
         loads.get_mut(&met.part).into_iter().for_each(|(load, weight)| *load += met.rate / *weight);
         self.waits.remove(&(!met.fresh, met.joined, proxy));
         let (zone, part) = (ZoneId(met.zone.0 % self.table.views), met.part);
         if self.table.seen.insert(zone) {
-            self.table.lines.iter().for_each(|(id, weight)| self.show_line(zone, *id, *weight, orders));
+            self.table
+                .lines
+                .iter()
+                .for_each(|(id, weight)| self.show_line(zone, *id, *weight, false, orders));
             (0..self.table.parts).for_each(|part| self.show_levels(part, zone, orders));
         }
-        orders.bind(proxy, self.view(part, zone), Classes::default());
+        self.bind_views(proxy, part, zone, orders);
         self.book(proxy, lines - self.mandate.message_head);
     }
 
-    fn lay_line(&mut self, id: NodeId, weight: f64, orders: To) {
-        let lines = &mut self.table.lines;
-        let former = if weight > 0.0 { lines.insert(id, weight) } else { lines.remove(&id) };
-        for zone in self.table.seen.iter().filter(|_| former != Some(weight)) {
-            self.show_line(*zone, id, weight, orders);
-        }
-        if weight > 0.0 && self.withdrawn.remove(&id) {
-            orders.withdraw(id, false);
-            let (strangers, chance) = self.strangers();
-            strangers.into_iter().for_each(|proxy| self.book(proxy, 1.0));
-            self.book_chance(chance);
-        }
-    }
-
-    fn show_line(&self, zone: ZoneId, id: NodeId, weight: f64, orders: To) {
-        let Some(node) = self.snapshot.get(&id) else { return };
-        orders.line(self.view(node.part, zone), id, weight * self.near(node, zone));
-    }
-
-    fn show_levels(&self, part: u16, zone: ZoneId, orders: To) {
-        for (class, (tries, amount)) in self.table.levels.get(&part).into_iter().flatten().enumerate() {
-            let view = Some(self.view(part, zone));
-            orders.level(view, Classes::of(ClassId(class as u16)), *tries, *amount);
-        }
-    }
-
     /// What is written carries a mark while none is owed, or much was ordered since: answers tell what left.
     fn ask_mark(&mut self, orders: To) -> bool {
         let written = self.channel.written.clone();
@@ -659,7 +643,9 @@
         // Who is not bound yet gets a table without the node: after a mass joining a line for each of them
         // and node filled the channel, and no bind got through.
         let (mut holders, chance) = self.strangers();
-        let held = self.proxies.iter().filter(|(_, met)| met.holds && Some(met.part) == part);
+        let home = self.home_of(&node);
+        let near = |met: &Proxy| home.is_some() && self.table.home(met.part, met.zone) == home;
+        let held = self.proxies.iter().filter(|(_, met)| met.holds && (Some(met.part) == part || near(met)));
         holders.extend(held.map(|(id, _)| *id));
         let marks = self.channel.written.len() as f64; // of this turn, not booked yet
         let new = holders.iter().filter(|proxy| !self.channel.written.contains(*proxy)).count() as f64;
@@ -846,8 +832,10 @@
             return false;
         }
         // A node that was withdrawn and is back before its line was taken out must be let in again, too.
+        let keeps = |id: &NodeId| self.snapshot.get(id).is_some_and(|node| self.keeps(node));
         let differs = |(id, weight): &(NodeId, f64)| {
-            self.table.stands(id) != *weight || *weight > 0.0 && self.withdrawn.contains(id)
+            let other = || self.withdrawn.contains(id) || keeps(id) != self.table.kept.contains(id);
+            self.table.stands(id) != *weight || *weight > 0.0 && other()
         };
         let places: BTreeSet<(u16, ZoneId)> =
             self.snapshot.values().map(|node| (node.part, node.zone)).collect();
@@ -872,10 +860,13 @@
     /// A part has no open line while others do: its proxies wait to be bound to another.
     fn leave_bare(&mut self, _orders: To) -> bool {
         let open = if self.stirred { self.open_parts() } else { BTreeMap::new() };
-        if open.is_empty() || open.len() == usize::from(self.table.parts) {
+        if open.is_empty() || open.len() == usize::from(self.table.parts) && self.table.homes == 0 {
             return false;
         }
-        let bare = |(_, proxy): &(&ProxyId, &mut Proxy)| proxy.bound && !open.contains_key(&proxy.part);
+        let (table, homes) = (&self.table, self.open_homes());
+        let serves = |met: &Proxy| Self::serves(table, met.part, met.zone, &homes);
+        let bare =
+            |(_, met): &(&ProxyId, &mut Proxy)| met.bound && !(open.contains_key(&met.part) && serves(met));
         let waits = self.proxies.iter_mut().filter(bare).map(|(id, proxy)| {
             (proxy.bound, proxy.fresh) = (false, true);
             (false, proxy.joined, *id)
@@ -927,14 +918,16 @@
             return false;
         }
         let bound = self.proxies.iter().filter(|(_, met)| met.holds);
-        let bound: Vec<(ProxyId, usize)> = bound.map(|(id, met)| (*id, met.part.into())).collect();
-        let due = due && bound.iter().all(|(proxy, _)| self.may_write(proxy, share));
+        let bound = bound.map(|(id, met)| (*id, met.part.into(), self.table.home(met.part, met.zone)));
+        let bound: Vec<(ProxyId, usize, Option<Home>)> = bound.collect();
+        let due = due && bound.iter().all(|(proxy, ..)| self.may_write(proxy, share));
         let marks = self.channel.written.len() as f64; // of this turn, not booked yet
         let most = if due { self.mandate.backlog * share } else { self.deep() };
         let mut room = most - self.channel.book.unanswered() - marks;
         let (before, levels, parts) = (room, self.wanted_levels(), usize::from(self.table.parts));
         let (mut holders, mut lines) = (vec![0.0; parts], vec![0.0; parts]);
-        bound.iter().for_each(|(_, part)| holders[*part] += 1.0);
+        bound.iter().for_each(|(_, part, _)| holders[*part] += 1.0);
+        let mut kin = channel::Kin::of(&bound, self.mandate.message_head + 1.0);
         // By parts, those that change most for what stands in them first. What does not fit is gathered
         // again: a channel kept full would let no more through, only later.
         let mut changes = vec![(0.0, Vec::new()); parts];
@@ -957,24 +950,30 @@
             }
             // Head and mark come with the first line of a message.
             let first = if rides { 0.0 } else { self.mandate.message_head + 1.0 };
-            let cost = holders[place] * (first + levels.len() as f64);
+            let (homes, own) = (self.table.homes_of(part), levels.len() as f64);
+            let cost =
+                holders[place] * (first + own) + homes.iter().map(|home| kin.cost(*home, own)).sum::<f64>();
             if differs && cost <= room {
-                (lines[place], room) = (levels.len() as f64, room - cost);
+                homes.into_iter().for_each(|home| kin.tell(home, own));
+                (lines[place], room) = (own, room - cost);
                 self.table.levels.insert(part, levels.clone());
                 self.table.seen.iter().for_each(|zone| self.show_levels(part, *zone, orders));
             }
             changes[place].1.sort_by(|a, b| b.0.total_cmp(&a.0));
             for (_, id, weight) in std::mem::take(&mut changes[place].1) {
                 let own = if weight > 0.0 && self.withdrawn.contains(&id) { 2.0 } else { 1.0 };
-                let cost = holders[place] * if lines[place] > 0.0 { own } else { own + first };
+                let home = self.home_of(&id);
+                let cost =
+                    holders[place] * if lines[place] > 0.0 { own } else { own + first } + kin.cost(home, own);
                 blocked |= late && cost > room && cost <= half;
                 if cost <= room {
                     self.lay_line(id, weight, orders);
                     (lines[place], room) = (lines[place] + own, room - cost);
+                    kin.tell(home, own);
                 }
             }
         }
-        bound.into_iter().for_each(|(proxy, part)| self.book(proxy, lines[part]));
+        bound.into_iter().for_each(|(id, part, home)| self.book(id, lines[part] + kin.told(home)));
         let fired = lines.iter().any(|lines| *lines > 0.0);
         self.table.blocked = blocked && !fired;
         if fired {
@@ -1014,13 +1013,14 @@
             return false;
         }
         // Worked out once: for each of a thousand that wait, a turn took a second, and all else waited.
-        let (waits, mut loads, mut fired) = (self.waits.clone(), self.loads(), false);
+        let (waits, mut loads, homes, mut fired) =
+            (self.waits.clone(), self.loads(), self.open_homes(), false);
         for (.., proxy) in waits {
             if !room(&self.channel) {
                 break;
             }
             if self.may_write(&proxy, share) {
-                self.bind(proxy, lines, &mut loads, orders);
+                self.bind(proxy, lines, &mut loads, &homes, orders);
                 fired = true;
             }
         }
--- a/src/balance/channel.rs
+++ b/src/balance/channel.rs
@@ -17,6 +17,32 @@
     pub along: BTreeSet<u16>, // parts whose proxies this turn's withdrawals are written to
 }
 
+/// Proxies of a zone that share its table for classes that keep to it, beside the proxies of a node's part: how many
+/// there are, and the lines that a flush has for them.
+pub struct Kin(BTreeMap<Home, (f64, f64)>, f64);
+
+impl Kin {
+    /// Of those bound; a message costs so much before its lines.
+    pub fn of(bound: &[(ProxyId, usize, Option<Home>)], first: f64) -> Kin {
+        let mut kin = Kin(BTreeMap::new(), first);
+        bound.iter().filter_map(|bound| bound.2).for_each(|home| kin.0.entry(home).or_default().0 += 1.0);
+        kin
+    }
+
+    pub fn cost(&self, home: Option<Home>, own: f64) -> f64 {
+        let (count, lines) = home.and_then(|home| self.0.get(&home).copied()).unwrap_or_default();
+        count * if lines > 0.0 { own } else { own + self.1 }
+    }
+
+    pub fn tell(&mut self, home: Option<Home>, own: f64) {
+        home.and_then(|home| self.0.get_mut(&home)).into_iter().for_each(|kin| kin.1 += own);
+    }
+
+    pub fn told(&self, home: Option<Home>) -> f64 {
+        home.and_then(|home| self.0.get(&home)).map_or(0.0, |kin| kin.1)
+    }
+}
+
 impl Balance {
     pub fn acknowledged(&mut self, now: Time, mark: u16, took: Time) {
         self.turn(now);
@@ -83,7 +109,11 @@
         for id in self.table.lines.keys() {
             sizes[part(id)] += 1 + usize::from(self.withdrawn.contains(id));
         }
-        let lines = sizes.into_iter().max().unwrap_or(0) + 2;
+        let mut homes: BTreeMap<Home, usize> = BTreeMap::new();
+        let kept =
+            self.table.kept.iter().filter_map(|id| Some((self.home_of(id)?, self.withdrawn.contains(id))));
+        kept.for_each(|(home, out)| *homes.entry(home).or_insert(1) += 1 + usize::from(out));
+        let lines = sizes.into_iter().max().unwrap_or(0) + homes.into_values().max().unwrap_or(0) + 2;
         (lines + self.mandate.exchanges.len()) as f64 + self.mandate.message_head
     }
 }
--- /dev/null
+++ b/src/balance/table.rs
@@ -0,0 +1,118 @@
+//! How the one table is numbered and shown: by parts as each zone sees them, and, for classes that keep to their
+//! zone, by groups of parts and zones. What stands in it, and who is bound to what, is not decided here.
+
+use super::*;
+
+/// Parts of one group share a zone's table for classes that keep to their zone.
+pub type Home = (u16, ZoneId);
+
+impl Table {
+    /// The group that a part and a zone belong to; nothing where no class keeps to its zone.
+    pub fn home(&self, part: u16, zone: ZoneId) -> Option<Home> {
+        (self.homes > 0).then(|| (part % self.homes.max(1), zone))
+    }
+
+    /// Those of a part, for each zone that is shown.
+    pub fn homes_of(&self, part: u16) -> Vec<Option<Home>> {
+        self.seen.iter().map(|zone| self.home(part, *zone)).collect()
+    }
+}
+
+impl Balance {
+    /// How a part looks from a zone.
+    pub(super) fn view(&self, part: u16, zone: ZoneId) -> TableId {
+        TableId(part * self.table.views + zone.0 % self.table.views)
+    }
+
+    /// A group's table of a zone, numbered behind all views.
+    fn home_view(&self, (group, zone): Home) -> TableId {
+        TableId((self.table.parts + group) * self.table.views + zone.0 % self.table.views)
+    }
+
+    /// Where a class looks for nodes that a proxy of a zone bound to a part may use.
+    fn class_view(&self, class: usize, part: u16, zone: ZoneId) -> TableId {
+        let home = self.table.home(part, zone).filter(|_| self.mandate.exchanges[class].home);
+        home.map_or_else(|| self.view(part, zone), |home| self.home_view(home))
+    }
+
+    /// Binds a proxy, each class to its table.
+    pub(super) fn bind_views(&self, proxy: ProxyId, part: u16, zone: ZoneId, orders: To) {
+        if self.table.homes == 0 {
+            return orders.bind(proxy, self.view(part, zone), Classes::default());
+        }
+        let mut views: BTreeMap<TableId, Classes> = BTreeMap::new();
+        for class in 0..self.mandate.exchanges.len() {
+            let view = self.class_view(class, part, zone);
+            views.entry(view).or_default().0.insert(ClassId(class as u16));
+        }
+        views.into_iter().for_each(|(view, classes)| orders.bind(proxy, view, classes));
+    }
+
+    /// The weight that proxies may use in each part that has any.
+    pub(super) fn open_parts(&self) -> BTreeMap<u16, f64> {
+        let mut open = BTreeMap::new();
+        for (id, weight) in self.table.lines.iter().filter(|(id, _)| !self.withdrawn.contains(id)) {
+            let part = self.snapshot.get(id).map_or(0, |node| node.part);
+            *open.entry(part).or_default() += weight;
+        }
+        open
+    }
+
+    /// Groups and zones with a line that proxies may use for classes that keep to their zone.
+    pub(super) fn open_homes(&self) -> BTreeSet<Home> {
+        let open = self.table.kept.iter().filter(|id| !self.withdrawn.contains(id));
+        open.filter_map(|id| self.home_of(id)).collect()
+    }
+
+    pub(super) fn home_of(&self, id: &NodeId) -> Option<Home> {
+        self.snapshot.get(id).and_then(|node| self.table.home(node.part, node.zone))
+    }
+
+    /// The table has no line that proxies may use.
+    pub(super) fn bare(&self) -> bool {
+        self.table.lines.keys().all(|id| self.withdrawn.contains(id))
+    }
+
+    pub(super) fn lay_line(&mut self, id: NodeId, weight: f64, orders: To) {
+        let keeps = weight > 0.0 && self.snapshot.get(&id).is_some_and(|node| self.keeps(node));
+        let Table { lines, kept, .. } = &mut self.table;
+        let former = if weight > 0.0 { lines.insert(id, weight) } else { lines.remove(&id) };
+        let was = if keeps { !kept.insert(id) } else { kept.remove(&id) };
+        for zone in self.table.seen.iter().filter(|_| former != Some(weight) || was != keeps) {
+            self.show_line(*zone, id, weight, was, orders);
+        }
+        if weight > 0.0 && self.withdrawn.remove(&id) {
+            orders.withdraw(id, false);
+            let (strangers, chance) = self.strangers();
+            strangers.into_iter().for_each(|proxy| self.book(proxy, 1.0));
+            self.book_chance(chance);
+        }
+    }
+
+    /// A line as a zone sees it; `was` where it stood among those that classes keep to.
+    pub(super) fn show_line(&self, zone: ZoneId, id: NodeId, weight: f64, was: bool, orders: To) {
+        let Some(node) = self.snapshot.get(&id) else { return };
+        orders.line(self.view(node.part, zone), id, weight * self.near(node, zone));
+        let kept = self.table.kept.contains(&id);
+        if let Some(home) = self.home_of(&id).filter(|_| node.zone == zone && (kept || was)) {
+            orders.line(self.home_view(home), id, if kept { weight } else { 0.0 });
+        }
+    }
+
+    /// A node listed in another zone than before leaves the former's tables, and is laid anew where it is.
+    pub(super) fn show_moved(&mut self, orders: To) {
+        for (id, home) in std::mem::take(&mut self.table.moved) {
+            self.table.lines.remove(&id);
+            if self.table.kept.remove(&id) {
+                orders.line(self.home_view(home), id, 0.0);
+            }
+        }
+    }
+
+    pub(super) fn show_levels(&self, part: u16, zone: ZoneId, orders: To) {
+        for (class, (tries, amount)) in self.table.levels.get(&part).into_iter().flatten().enumerate() {
+            let view = Some(self.class_view(class, part, zone));
+            orders.level(view, Classes::of(ClassId(class as u16)), *tries, *amount);
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,8 @@
     pub cut_off: Time,
     pub gain: f64,
     pub repeat: Repeat,
+    /// It goes only to nodes of its proxy's zone.
+    pub home: bool,
 }
 
 /// What proxies do with a level.
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -14,7 +14,13 @@
 }
 
 pub fn mandate() -> Mandate {
-    let terms = |target, repeat| ExchangeTerms { target: ms(target), cut_off: ms(5_000), gain: 1.0, repeat };
+    let terms = |target, repeat| ExchangeTerms {
+        target: ms(target),
+        cut_off: ms(5_000),
+        gain: 1.0,
+        repeat,
+        home: false,
+    };
     Mandate {
         exchanges: vec![
             terms(1_000, Repeat::Safe),
