A conductor's own stall does not end its watch, and sizes by the thousand are served or refused

Cause: roster.rs follow: the time for a silent watch was over before what had come during a stall of the conductor's own was looked at, so that a healthy watch with a drain in its socket was ended and dialled anew (a test holds the conductor for 3.8 s; SIGSTOP). Found by a start with 5,000 nodes, whose first turn takes a second. Levels by rate of more than some fifty classes do not fit the 64 parts of a message.

Change: a second look of 50 ms; settings with more than 48 classes and levels by rate are refused at the start, naming classes.count.

Result: tests for each; a configuration of 1,024 zones, classes and peers, 5,000 nodes and 65,536 proxies starts and serves. Open: its turns take up to a second, as every node's part is weighed against all others when it is listed.

--- a/crates/conductor/src/wire/limits.rs
+++ b/crates/conductor/src/wire/limits.rs
@@ -79,6 +79,8 @@
 /// Without a byte for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
 /// must be heard within 6 s in all.
 pub const ROSTER_SILENCE: Duration = Duration::from_millis(3_500);
+/// For what has come by the end of that to be looked at.
+pub const ROSTER_LOOK: Duration = Duration::from_millis(50);
 
 #[cfg(test)]
 mod tests {
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -1,5 +1,8 @@
 //! Discovery: a hyper client as a tower service, its documents, and a watch that lasts until it ends.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use anyhow::{Context, Result, anyhow, bail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -13,7 +16,6 @@
 use oatpitch_memory::heard::{Entry, News};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt, service_fn};
@@ -123,7 +125,13 @@
 ) -> Result<()> {
     let (mut lines, mut line_at) = (Lines::new(longest), Instant::now());
     // Bytes that never end a line are silence too: a watch that trickles, or broke off within one, tells nothing.
-    while let Some(frame) = quiet_until(line_at + limits::ROSTER_SILENCE, body.frame()).await? {
+    loop {
+        let frame = match tokio::time::timeout_at(line_at + limits::ROSTER_SILENCE, body.frame()).await {
+            Ok(frame) => frame,
+            // After a stall of the conductor's own the time is over before what has come is looked at.
+            Err(_) => quiet_for(limits::ROSTER_LOOK, body.frame()).await?,
+        };
+        let Some(frame) = frame else { return Ok(()) };
         let Ok(data) = frame.context("the watch broke")?.into_data() else { continue };
         lines.room().extend_from_slice(&data);
         while let Some(line) = lines.cut().map_err(|_| anyhow!("a line over the longest"))? {
@@ -133,11 +141,10 @@
             line_at = Instant::now();
         }
     }
-    Ok(())
 }
 
-async fn quiet_until<T>(until: Instant, next: impl Future<Output = T>) -> Result<T> {
-    tokio::time::timeout_at(until, next).await.context("silent for too long")
+async fn quiet_for<T>(most: Duration, next: impl Future<Output = T>) -> Result<T> {
+    tokio::time::timeout(most, next).await.context("silent for too long")
 }
 
 #[cfg(test)]
--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -242,3 +242,37 @@
         queued.enter(lines);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a message that goes out behind one that was too much: changes would be applied over a gap.
+    #[test]
+    fn after_a_refused_message_none_goes_out() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = listen(([127, 0, 0, 1], 0).into(), 8).expect("a port");
+            let at = listener.local_addr().expect("bound");
+            let (_far, near) = (TcpStream::connect(at).await.expect("open"), listener.accept().await);
+            let (near, entered) = (near.expect("taken").0, Entered::default());
+            let budget = Budget::of(limits::room(192, 64));
+            let (_read, outbox, writing) = split(near, &budget, entered.clone());
+            assert!(outbox.write(Bytes::from_static(b"first\n"), 3.0));
+            assert!(!outbox.write(vec![b' '; limits::OUTBOX_MOST].into(), 7.0));
+            assert!(!outbox.write(Bytes::from_static(b"third\n"), 2.0), "it would pass the second");
+            drop((outbox, writing));
+            // What was not written counts as never to enter.
+            assert_eq!(entered.get(), 12.0);
+        });
+    }
+
+    #[test]
+    fn what_ended_before_it_was_taken_concerns_itself_alone() {
+        use io::ErrorKind::{ConnectionAborted, Other, OutOfMemory};
+        let alone = [ConnectionAborted, Other, OutOfMemory].map(|kind| itself_alone(&kind.into()));
+        assert_eq!(alone, [true, false, false]);
+        // A full table of descriptors.
+        assert!(!itself_alone(&io::Error::from_raw_os_error(24)));
+    }
+}
--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -338,6 +338,59 @@
     assert!(log.contains("connections refused="), "{log}");
 }
 
+/// Guards against sizes that only a large customer has: zones, classes and peers by the thousand, nodes by five, as
+/// many proxies as have numbers. It starts, and its first proxy has its table, each class by its name.
+#[test]
+fn a_configuration_of_thousands_is_served() {
+    let (address, answers, _paths) = discovery();
+    let (lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let mut config = config(address);
+    let zones: Vec<String> = (0..1_024).map(|k| format!("z-{k}")).collect();
+    let node = |k: usize| {
+        let mut node = target(&format!("s-{k}"), "active");
+        node["az"] = json!(zones[k % 8]);
+        node["model"] = json!(format!("m-{}", k % 300));
+        node
+    };
+    config["known"]["targets"] = (0..5_000).map(node).collect();
+    config["peers"] = (0..1_024).map(|k| json!(format!("127.1.{}.{}:7000", k / 256, k % 256))).collect();
+    let class = |k: usize| {
+        json!({"name": format!("c-{k}"), "semantics": "safe", "promise_us": 1_000_000 + k,
+            "deadline_us": 4_000_000, "worth": 1.0})
+    };
+    let settings = &mut config["settings"];
+    settings["azs"] = json!(zones);
+    settings["classes"] = (0..1_024).map(class).collect();
+    settings["specifics"]["home_only"] = (0..1_024).map(|k| json!(k == 1_000)).collect();
+    settings["specifics"]["data_plane_size"] = json!(65_536);
+    settings["specifics"]["egress_per_s"] = json!(1_000_000);
+    settings["specifics"]["pending_max"] = json!(1_000_000);
+    let conductor = Conductor::start("thousands", &config);
+    conductor.dial().probe();
+    let mut proxy = conductor.dial();
+    proxy.say(json!({"t": "hello", "proxy": 65_535, "zone": "z-7", "weight": 1.0, "fresh": true}));
+    let (mut all, mut home) = (Vec::new(), Vec::new());
+    while all.is_empty() || home.is_empty() {
+        let message = proxy.hear_until(whole);
+        let routes = message["routes"].as_array().map_or(0, Vec::len);
+        let lines = names(&message).into_iter().map(String::from).collect();
+        match routes {
+            1 => home = lines,
+            1_023 => all = lines,
+            other => panic!("a table for {other} classes"),
+        }
+    }
+    let zone = |name: &String| name[2..].parse::<usize>().expect("a number") % 8;
+    assert!(all.iter().any(|name| zone(name) != 7) && home.iter().all(|name| zone(name) == 7));
+    let mut drained = node(7);
+    drained["state"] = json!("leaving");
+    lines.send(list(6, false, &[drained])).expect("watched");
+    proxy.hear_until(|message| !message["endpoints"].is_null() && names(message) == ["s-7"]);
+    let log = conductor.stop();
+    assert!(!log.contains("missed") && !log.contains("unreadable"), "{log}");
+}
+
 #[test]
 fn a_faulty_configuration_is_named_at_once() {
     let (address, _answers, _paths) = discovery();
--- a/crates/conductor/tests/crossings.rs
+++ b/crates/conductor/tests/crossings.rs
@@ -267,6 +267,25 @@
     conductor.stop();
 }
 
+/// Guards against a watch taken for silent by a conductor that itself stood still: what was told meanwhile waits in
+/// the socket, and is heard on the same watch.
+#[test]
+fn a_watch_outlasts_the_conductors_own_stall() {
+    let (conductor, lines, answers) = watched("own-stall");
+    let (mut proxy, mut table) = (conductor.dial(), Table::default());
+    proxy.hello(1);
+    proxy.follow(&mut table, |table| table.lines.len() == 2);
+    conductor.hold();
+    lines.send(list(6, false, &[target("s-1", "leaving")])).expect("watched");
+    // Longer than a watch may be silent.
+    thread::sleep(Duration::from_millis(3_800));
+    conductor.go_on();
+    proxy.follow(&mut table, |table| table.open() == ["s-2"]);
+    drop(answers);
+    let log = conductor.stop();
+    assert!(log.contains("watches opened=1") && !log.contains("watches ended"), "{log}");
+}
+
 /// Guards against a moved discovery's repeat of what the former watch has told meanwhile: it ended the watch, cost a
 /// fetch and told a drained node as active.
 #[test]
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -8,6 +8,9 @@
 use oatpitch::interface::{ExchangeTerms, LevelKind, Load, Mandate, Reach, Repeat, Time};
 use serde_json::Value;
 
+/// Classes with a level by rate each, as a message has 64 parts at most, and some hold tables (count).
+const RATES_MOST: usize = 48;
+
 /// Settings count microseconds, the module tenths of a millisecond.
 const US: u64 = 100;
 
@@ -207,6 +210,10 @@
         warm_up: at.time("guarantees.warm_up_us")?,
         fall_multiple: at.figure("guarantees.fall_multiple")?,
     };
+    if mandate.levels == LevelKind::Rate && mandate.exchanges.len() > RATES_MOST {
+        let count = mandate.exchanges.len();
+        bail!("settings: classes.count: {count}, and a message has room for {RATES_MOST} levels by rate");
+    }
     let classes = (0..mandate.exchanges.len()).map(|k| at.0.get(&format!("classes.{k}.name")));
     let classes = classes.map(|name| name.cloned().unwrap_or_default()).collect();
     Ok(Charge { mandate, columns, tick: at.time("tick_us")?, zones: names, classes })
