The conductor is one thread: its log needs none, so a start has nothing to wait for

Change: run/log.rs writes from the one thread there is, to a pipe that is told not to hold up who writes; what is not taken waits within 64 KiB, and at the end for 0.2 s as before. slog-async is gone, rustix sets the flag. Nothing else in run had a thread.

Result: crossings.rs a_conductor_is_one_thread fails with the log's thread (2 threads); a_log_that_nobody_reads_stops_nobody holds as it is.

--- a/crates/conductor/src/run/follow.rs
+++ b/crates/conductor/src/run/follow.rs
@@ -26,7 +26,7 @@
 
 /// Prints every table applied, until as many have come or it is ended.
 pub async fn print(hosts: &[SocketAddr], identity: &Identity, hold: &Hold, count: Option<u64>) -> Result<()> {
-    let (logger, guard) = log::start("follow");
+    let logger = log::start("follow");
     let mut stop = signal(SignalKind::terminate())?;
     let mut left = count.unwrap_or(u64::MAX);
     let seed = fastrand::u64(..);
@@ -59,7 +59,6 @@
         _ = stop.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
     }
-    log::finish(guard);
     Ok(())
 }
 
@@ -90,7 +89,7 @@
     if record.origins.is_empty() {
         return Err(anyhow!("relay.origins: names no address"));
     }
-    let (logger, guard) = log::start("relay");
+    let logger = log::start("relay");
     let mut stop = signal(SignalKind::terminate())?;
     let publish: &Channel = &record.publish;
     let listener =
@@ -115,6 +114,5 @@
         _ = stop.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
     }
-    log::finish(guard);
     Ok(())
 }
--- a/crates/conductor/src/run/mod.rs
+++ b/crates/conductor/src/run/mod.rs
@@ -273,13 +273,12 @@
     files: Vec<PathBuf>,
     operator: Operator,
 ) -> Result<()> {
-    let (log, guard) = log::start(&posting.name);
+    let log = log::start(&posting.name);
     let places = posting.sockets - limits::SOCKETS_OWN;
     // All that there are places for may dial at once: who finds no place in the queue comes again a second later.
     let open = async || stream::listen(posting.listen, places);
     let Some(listener) = claim(&log, &mut signals, "listen", posting.listen, open).await? else {
         info!(log, "stopped before it listened");
-        log::finish(guard);
         return Ok(());
     };
     let datagrams = match posting.peers.listen {
@@ -447,7 +446,6 @@
         info!(log, "channel: {}", server.figures());
     }
     info!(log, "stopped; counters: {}", memory.counters);
-    log::finish(guard);
     Ok(())
 }
 
--- a/crates/conductor/tests/crossings.rs
+++ b/crates/conductor/tests/crossings.rs
@@ -201,6 +201,20 @@
     }
 }
 
+/// Guards against a start or an end held up where one thread waits for another that is not there yet, or no more.
+#[test]
+fn a_conductor_is_one_thread() {
+    let (conductor, _lines, _answers) = watched("one-thread");
+    let mut proxy = conductor.dial();
+    proxy.hello(1);
+    proxy.hear_until(whole);
+    ["HUP", "USR1"].iter().for_each(|name| conductor.signal(name));
+    proxy.probe();
+    let tasks = format!("/proc/{}/task", conductor.child.id());
+    assert_eq!(std::fs::read_dir(tasks).expect("its threads").count(), 1);
+    conductor.stop();
+}
+
 /// Guards against an end that comes late or is a bad one: signals that come at once, more than one of each, while
 /// thousands of streams are open that leave unread what they are told and have said what nobody has read.
 #[test]
