--- a/crates/conductor/src/wire/stream.rs
+++ b/crates/conductor/src/wire/stream.rs
@@ -97,15 +97,12 @@
             let read = tokio::select! {
                 biased;
                 read = stream.read_buf(lines.room()) => read,
+                () = std::future::ready(()), if last => return Ending::Dismissed,
                 () = dismissed.notified(), if !named => {
                     last = true;
                     // What has come is known once the runtime has looked, which it does before it goes on here.
                     tokio::task::yield_now().await;
-                    tokio::select! {
-                        biased;
-                        read = stream.read_buf(lines.room()) => read,
-                        () = std::future::ready(()) => return Ending::Dismissed,
-                    }
+                    continue;
                 }
             };
             match read {
@@ -131,7 +128,7 @@
                     return Ending::Closed;
                 }
             }
-            if last && !named {
+            if std::mem::take(&mut last) && !named {
                 return Ending::Dismissed;
             }
             // What can't become a message need not end first, which it may never do.
--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -250,9 +250,8 @@
     old_answers.send(Answer::Watch(old_watch)).expect("running");
     let mut config = config(old);
     let (mut command, folder) = command("renewal", config.to_string().as_bytes());
-    let child = command.env("NODE_DISCOVERY", old.to_string()).spawn().expect("started");
-    let listen = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
-    let conductor = Conductor { child, address: listen, folder };
+    command.env("NODE_DISCOVERY", old.to_string());
+    let conductor = Conductor::spawn(command, folder, &config);
     let mut proxy = conductor.dial();
     proxy.hello(17);
     proxy.hear_until(whole);
@@ -328,8 +327,7 @@
     let mut shell = Command::new("sh");
     shell.arg("-c").arg(format!("ulimit -n 40; exec {}", env!("CARGO_BIN_EXE_oatpitch")));
     shell.env("NODE_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
-    let at = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
-    let conductor = Conductor { child: shell.spawn().expect("started"), address: at, folder };
+    let conductor = Conductor::spawn(shell, folder, &config);
     let _strangers: Vec<Party> = (0..60).map(|_| conductor.dial()).collect();
     let mut proxy = conductor.dial();
     proxy.hello(2);
--- a/crates/conductor/tests/crossings.rs
+++ b/crates/conductor/tests/crossings.rs
@@ -121,10 +121,9 @@
     let ((old, ..), (new, new_answers, new_paths)) = (discovery(), discovery());
     let (_new_lines, watch) = channel();
     new_answers.send(Answer::Watch(watch)).expect("running");
-    let (mut command, folder) = fifo("early-signals");
+    let (command, folder) = fifo("early-signals");
     let mut config = config(old);
-    let address = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
-    let mut conductor = Conductor { child: command.spawn().expect("started"), address, folder };
+    let mut conductor = Conductor::spawn(command, folder, &config);
     let at = conductor.folder.join("config.json");
     let open = || std::fs::OpenOptions::new().write(true).open(&at).expect("it is read");
     let mut first = open();
@@ -146,10 +145,9 @@
 #[test]
 fn a_stop_while_the_configuration_is_read() {
     let (address, ..) = discovery();
-    let (mut command, folder) = fifo("early-stop");
+    let (command, folder) = fifo("early-stop");
     let config = config(address);
-    let at = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
-    let conductor = Conductor { child: command.spawn().expect("started"), address: at, folder };
+    let conductor = Conductor::spawn(command, folder, &config);
     let path = conductor.folder.join("config.json");
     let mut open = std::fs::OpenOptions::new().write(true).open(path).expect("it is read");
     conductor.signal("TERM");
@@ -231,10 +229,7 @@
     let (lines, watch) = channel();
     answers.send(Answer::Watch(watch)).expect("running");
     let mut config = config(address);
-    config["limits"]["sockets"] = json!(3_000);
-    config["settings"]["specifics"]["data_plane_size"] = json!(2_000);
-    config["settings"]["specifics"]["egress_per_s"] = json!(1_000_000);
-    config["settings"]["specifics"]["pending_max"] = json!(10_000_000);
+    widen(&mut config, 3_000, 2_000);
     let conductor = Conductor::start("stop", &config);
     let join = |k| {
         let mut proxy = conductor.dial();
@@ -419,10 +414,7 @@
     let (_lines, watch) = channel();
     answers.send(Answer::Watch(watch)).expect("running");
     let mut config = config(address);
-    config["limits"]["sockets"] = json!(3_000);
-    config["settings"]["specifics"]["data_plane_size"] = json!(1_500);
-    config["settings"]["specifics"]["egress_per_s"] = json!(1_000_000);
-    config["settings"]["specifics"]["pending_max"] = json!(10_000_000);
+    widen(&mut config, 3_000, 1_500);
     let conductor = Conductor::start("queue", &config);
     conductor.dial().probe();
     let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").expect("the system's limit");
@@ -586,7 +578,7 @@
     conductor.stop();
 }
 
-/// A log that is read line by line to its end tells of no crossing that must not be.
+/// Guards against two conductors at one address: the second gives up in time, and the first goes on.
 #[test]
 fn a_second_conductor_at_the_same_address_never_starts() {
     let (conductor, _lines, _answers) = watched("twice");
--- a/crates/conductor/tests/site/mod.rs
+++ b/crates/conductor/tests/site/mod.rs
@@ -16,24 +16,26 @@
 /// Far beyond what anything here takes, so that a busy machine gives the same verdict.
 pub const LONGEST: Duration = Duration::from_secs(20);
 
+/// The stand-ins' settings for twenty proxies, with this page's classes and a channel that binds.
 pub fn settings() -> Value {
-    json!({
-        "azs": ["a", "b"], "discovery": "push", "tick_us": 5000,
-        "report": {"how": "piggyback", "columns": ["inflight", "util"]},
-        "classes": [
-            {"name": "lookup", "semantics": "safe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
-                "worth": 1.0},
-            {"name": "order", "semantics": "unsafe", "promise_us": 1_000_000, "deadline_us": 4_000_000,
-                "worth": 2.0},
-        ],
-        "guarantees": {"stop_sending_within_us": 3_000_000, "cold_from": 0.3, "warm_up_us": 12_000_000,
-            "fall_multiple": 3.0},
-        "specifics": {"admit": "share", "slices": 0, "egress_per_s": 5000.0, "head": 6.0,
-            "pending_max": 7000.0,
-            "reloads_max": 0, "update_window_us": 10_000_000, "push_delay_us": 200_000,
-            "push_delay_max_us": 600_000, "strikes": 5, "data_plane_size": 20, "min_conn_cap": 100.0,
-            "blackhole_us": 3_000_000, "cycle_us": 1_000_000},
-    })
+    let mut settings = oatpitch_standins::conductor::settings(20);
+    for (class, name) in ["lookup", "order"].into_iter().enumerate() {
+        settings["classes"][class]["name"] = json!(name);
+    }
+    let specifics = &mut settings["specifics"];
+    specifics["egress_per_s"] = json!(5000.0);
+    specifics["pending_max"] = json!(7000.0);
+    specifics["min_conn_cap"] = json!(100.0);
+    settings
+}
+
+/// Room for a whole fleet at once: descriptors, numbers, and a channel that holds up nobody.
+pub fn widen(config: &mut Value, sockets: u32, proxies: u32) {
+    config["limits"]["sockets"] = json!(sockets);
+    let specifics = &mut config["settings"]["specifics"];
+    specifics["data_plane_size"] = json!(proxies);
+    specifics["egress_per_s"] = json!(1_000_000);
+    specifics["pending_max"] = json!(10_000_000);
 }
 
 pub fn target(uid: &str, state: &str) -> Value {
@@ -130,7 +132,12 @@
 
 impl Conductor {
     pub fn start(name: &str, config: &Value) -> Conductor {
-        let (mut command, folder) = command(name, config.to_string().as_bytes());
+        let (command, folder) = command(name, config.to_string().as_bytes());
+        Conductor::spawn(command, folder, config)
+    }
+
+    /// Starts what is to listen where a configuration says.
+    pub fn spawn(mut command: Command, folder: PathBuf, config: &Value) -> Conductor {
         let child = command.spawn().expect("started");
         let address = config["listen"].as_str().and_then(|at| at.parse().ok()).expect("an address");
         Conductor { child, address, folder }
@@ -253,7 +260,7 @@
         }
     }
 
-    /// What is applied by a proxy that hears until a mark is asked for: its nodes, less those shut out.
+    /// Applies what it hears to a table, until that is as wanted.
     pub fn follow(&mut self, table: &mut Table, until: impl Fn(&Table) -> bool) {
         let start = Instant::now();
         while !until(table) {
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -232,11 +232,10 @@
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
     let (count, key) = (at.value::<u16>("classes.count")?, "specifics.home_only");
     // Where no class keeps to its zone, the key may be missing.
-    let home: Vec<&str> = if at.0.contains_key(key) { at.list(key)?.collect() } else { Vec::new() };
-    if !home.is_empty() && home.len() != usize::from(count)
-        || home.iter().any(|word| word.parse::<bool>().is_err())
-    {
-        bail!("settings: {key} is no list of true or false for each class: {}", home.join(","));
+    let stated: Vec<&str> = if at.0.contains_key(key) { at.list(key)?.collect() } else { Vec::new() };
+    let home: Vec<bool> = stated.iter().filter_map(|word| word.parse().ok()).collect();
+    if home.len() != stated.len() || !home.is_empty() && home.len() != usize::from(count) {
+        bail!("settings: {key} is no list of true or false for each class: {}", stated.join(","));
     }
     (0..count)
         .map(|k| {
@@ -258,7 +257,7 @@
                 cut_off: at.time(&key("deadline_us"))?,
                 gain: at.figure(&key("worth"))?,
                 repeat,
-                home: home.get(usize::from(k)) == Some(&"true"),
+                home: home.get(usize::from(k)).is_some_and(|home| *home),
             })
         })
         .collect()
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -29,6 +29,11 @@
 }
 
 impl Plain {
+    /// The nodes that it may pick for a class.
+    fn open(&self, class: &str) -> Vec<&str> {
+        self.tables[class].keys().map(String::as_str).filter(|node| !self.out.contains(*node)).collect()
+    }
+
     /// Applies a message, and gives what it counts in the channel without its head.
     fn apply(&mut self, message: &Message) -> usize {
         assert!(!message.parts.is_empty());
@@ -666,9 +671,7 @@
     assert_eq!((desk.fetches(), desk.watches().len()), (vec![2, 3, 5], 2));
     desk.turn(1, [Input::News(5, list(3, true, &[0, 4]))]);
     desk.pass(500);
-    let held = desk.held(1);
-    let left: Vec<&String> = held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).collect();
-    assert_eq!(left, ["s-0", "s-4"]);
+    assert_eq!(desk.held(1).open("quote"), ["s-0", "s-4"]);
     desk.pass(2 * limits::TOLD_LATEST.0 / 10);
     assert_eq!(desk.fetches().len(), 3);
 }
@@ -683,11 +686,7 @@
         desk.pass(500);
         desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::News(1, drain(8, Standing::Draining))]);
         desk.pass(500);
-        let open = |desk: &Desk| -> Vec<String> {
-            let held = desk.held(1);
-            held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).cloned().collect()
-        };
-        assert_eq!(open(&desk), ["s-0", "s-2", "s-3"]);
+        assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3"]);
         let old = list(5, true, &[0, 1, 2, 4]);
         if watched {
             desk.turn(1, [Input::News(1, old)]);
@@ -698,17 +697,17 @@
             desk.turn(1, [Input::News(2, old)]);
         }
         desk.pass(500);
-        assert_eq!(open(&desk), ["s-0", "s-2", "s-3", "s-4"]);
+        assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
         // What came after it is told again, and the list as it stands is asked for in the end.
         let number = desk.watches().last().expect("a watch").0;
         assert_eq!(number, if watched { 1 } else { 3 });
         desk.turn(1, [Input::News(number, drain(8, Standing::Draining))]);
         desk.pass(limits::TOLD_LATEST.0 / 10);
-        assert_eq!(open(&desk), ["s-0", "s-2", "s-3", "s-4"]);
+        assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
         let fetch = *desk.fetches().last().expect("a fetch");
         desk.turn(1, [Input::News(fetch, list(9, true, &[0, 1, 2, 4]))]);
         desk.pass(500);
-        assert_eq!(open(&desk), ["s-0", "s-1", "s-2", "s-4"]);
+        assert_eq!(desk.held(1).open("quote"), ["s-0", "s-1", "s-2", "s-4"]);
         assert_eq!((desk.counted("older lists"), desk.ended.len()), (1, 0));
     }
 }
@@ -776,9 +775,7 @@
     desk.turn(1, [Input::Watching(2), Input::News(2, list(6, false, &[1, 3]))]);
     desk.turn(1, [Input::News(2, list(8, false, &[4]))]);
     desk.pass(500);
-    let held = desk.held(1);
-    let open: Vec<&String> = held.tables["quote"].keys().filter(|node| !held.out.contains(*node)).collect();
-    assert_eq!(open, ["s-0", "s-2", "s-3", "s-4"]);
+    assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
     assert_eq!((desk.watches().len(), desk.fetches().len()), (2, 0));
     assert_eq!((desk.counted("false versions"), desk.counted("news heard before")), (0, 1));
 }
--- a/src/balance/table.rs
+++ b/src/balance/table.rs
@@ -94,7 +94,7 @@
         let Some(node) = self.snapshot.get(&id) else { return };
         orders.line(self.view(node.part, zone), id, weight * self.near(node, zone));
         let kept = self.table.kept.contains(&id);
-        if let Some(home) = self.home_of(&id).filter(|_| node.zone == zone && (kept || was)) {
+        if let Some(home) = self.table.home(node.part, zone).filter(|_| node.zone == zone && (kept || was)) {
             orders.line(self.home_view(home), id, if kept { weight } else { 0.0 });
         }
     }
