Reducer and conductor's run: modules with one job each, behaviour unchanged

Change: the reducer is a folder: `mod.rs` (state, begin, turn, close), `connections.rs`, and `discovery/` with what is asked (`mod.rs`) and what is answered (`updates.rs`); long handlers are named steps. The conductor's `run` has `serve/` (the loop, and its start), `effects.rs`, `connection.rs`, `accept.rs`, `peers.rs`, `signals.rs`, `claim.rs`, `reload.rs`, `operator.rs` and `hook_commands.rs`. Numbers of connections are given by `ConnIds`, and the loop waits for a `Wakeup` and responds to it. No test is touched.

--- a/crates/conductor/src/run/command.rs
+++ b/crates/conductor/src/run/command.rs
@@ -21,6 +21,9 @@
 const CODES: &str = "Exit codes: 0 all went well; 1 it could not start or go on, with one line that says why; \
 2 the command line can't be understood; 3 a file was checked and something in it is wrong.";
 
+/// The exit code where a file was checked, and something in it is wrong.
+pub const WRONG: u8 = 3;
+
 /// Where what operators set is read from.
 #[derive(Args, Clone, Debug, Default)]
 pub struct Operator {
--- /dev/null
+++ b/crates/conductor/src/run/connection.rs
@@ -0,0 +1,50 @@
+//! Connections as the conductor holds them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use oatpitch_memory::ConnId;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+
+use crate::wire::limits;
+use crate::wire::stream::Outbox;
+
+/// Gives each connection its number, in the order of their coming.
+#[derive(Clone, Default)]
+pub struct ConnIds(Rc<Cell<u64>>);
+
+impl ConnIds {
+    pub fn next(&self) -> ConnId {
+        ConnId(self.0.replace(self.0.get() + 1))
+    }
+}
+
+/// The open connections.
+pub type Conns = Rc<RefCell<BTreeMap<ConnId, Conn>>>;
+
+/// One connection: its outbox, and the tasks that read and write it.
+pub struct Conn {
+    pub outbox: Outbox,
+    pub reading: AbortHandle,
+    pub writing: AbortHandle,
+    /// Tells the reading task to end once what has come by now is taken.
+    pub dismissed: Rc<Notify>,
+}
+
+impl Conn {
+    /// Ends it at once; but an answer of life just queued, which counts nothing in the channel, goes out first.
+    pub fn end(self) {
+        self.reading.abort();
+        let writing = self.writing;
+        if !self.outbox.owes_sign() {
+            return writing.abort();
+        }
+        // Without its outbox it ends by itself, unless the other side takes nothing.
+        spawn_local(async move {
+            tokio::time::sleep(limits::FAREWELL).await;
+            writing.abort();
+        });
+    }
+}
--- /dev/null
+++ b/crates/conductor/src/run/effects.rs
@@ -0,0 +1,160 @@
+//! Carries out what the reducer asks for.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use oatpitch::interface::Time;
+use oatpitch_channel::net::server::Server;
+use oatpitch_memory::counters::Counters;
+use oatpitch_memory::message::Message;
+use oatpitch_memory::{ConnId, Effect, Ending, Grade, Input};
+use slog::{Logger, error, info, warn};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+
+use super::config::Peers;
+use super::connection::{Conn, Conns};
+use crate::wire::heard::Terms;
+use crate::wire::limits::Room;
+use crate::wire::stream::Entered;
+use crate::wire::{push, roster};
+
+/// What the effects act on. Nothing is decided by it.
+pub struct Hands {
+    pub log: Logger,
+    pub inbox: mpsc::Sender<Input>,
+    pub conns: Conns,
+    pub terms: Rc<Terms>,
+    pub room: Room,
+    pub discovery: SocketAddr,
+    /// What is asked of discovery, by its number.
+    pub asked: BTreeMap<u64, AbortHandle>,
+    pub peers: Peers,
+    pub datagrams: Option<Rc<UdpSocket>>,
+    pub wake: Option<Time>,
+    pub channel: Option<Server>,
+    pub entered: Entered,
+    /// What a message counts in the channel beside its lines.
+    pub head: f64,
+}
+
+impl Hands {
+    /// Does what a turn asked for, in order. Connections whose outbox is full come back as inputs.
+    pub fn carry_out(&mut self, effects: Vec<Effect>, counters: &mut Counters) -> Vec<Input> {
+        let mut clogged = Vec::new();
+        // Each turn tells when it is to be woken, if at all; what an earlier one asked for is over.
+        self.wake = None;
+        for effect in effects {
+            match effect {
+                Effect::Order(to, message) => clogged.extend(self.order(to, &message, counters)),
+                Effect::Alive(conn) => clogged.extend(self.write(conn, Bytes::from_static(push::ALIVE), 0.0)),
+                Effect::End(conn) => self.end(conn),
+                Effect::Dismiss(conn) => self.dismiss(conn),
+                Effect::Watch { number, since } => self.watch(number, since),
+                Effect::Unwatch(number) => self.asked.remove(&number).iter().for_each(AbortHandle::abort),
+                Effect::Discovery(address) => self.discovery = address,
+                Effect::Fetch(number) => self.fetch(number),
+                Effect::Wake(at) => self.wake = Some(at),
+                Effect::Tell(peer, message) => self.tell(peer, message),
+                Effect::Log(grade, text) => self.log(grade, &text),
+            }
+        }
+        clogged
+    }
+
+    /// What the turn ordered goes out on the channel, if there is one.
+    pub fn publish(&self, now: Time, roster: u64) {
+        self.channel.iter().for_each(|server| server.close(now, roster));
+    }
+
+    /// Queues one message for each of these connections; those that follow the channel have it from there.
+    fn order(&self, mut to: Vec<ConnId>, message: &Message, counters: &mut Counters) -> Vec<Input> {
+        let lines = message.cost() as f64 + self.head;
+        if let Some(server) = &self.channel {
+            server.order(&to, message);
+            let all = to.len();
+            to.retain(|conn| !server.follows(*conn));
+            self.enter((all - to.len()) as f64 * lines);
+        }
+        if to.is_empty() {
+            return Vec::new();
+        }
+        let bytes = push::encode(&message.parts, &self.terms.classes, counters);
+        to.into_iter().filter_map(|conn| self.write(conn, bytes.clone(), lines)).collect()
+    }
+
+    fn end(&self, conn: ConnId) {
+        self.conns.borrow_mut().remove(&conn).into_iter().for_each(Conn::end);
+        self.channel.iter().for_each(|server| server.end(conn));
+    }
+
+    fn dismiss(&self, conn: ConnId) {
+        self.conns.borrow().get(&conn).into_iter().for_each(|conn| conn.dismissed.notify_one());
+    }
+
+    fn log(&self, grade: Grade, text: &str) {
+        match grade {
+            Grade::Info => info!(self.log, "{text}"),
+            Grade::Warning => warn!(self.log, "{text}"),
+            Grade::Error => error!(self.log, "{text}"),
+        }
+    }
+
+    /// What is to be told of a connection whose outbox is full.
+    fn write(&self, conn: ConnId, message: Bytes, lines: f64) -> Option<Input> {
+        let Some(written) = self.conns.borrow().get(&conn).map(|conn| conn.outbox.write(message, lines))
+        else {
+            self.enter(lines);
+            return None;
+        };
+        (!written).then_some(Input::Ended(conn, Ending::Unread))
+    }
+
+    fn enter(&self, lines: f64) {
+        self.entered.set(self.entered.get() + lines);
+    }
+
+    fn watch(&mut self, number: u64, since: u64) {
+        let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
+        let longest = self.room.roster;
+        let task = async move {
+            let ended = async {
+                let body = roster::open(address, since).await?;
+                let _ = inbox.send(Input::Watching(number)).await;
+                let pass_on = async |news| _ = inbox.send(Input::News(number, news)).await;
+                roster::follow(body, &terms.zones, longest, pass_on).await
+            };
+            let ended = ended.await;
+            let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
+            let _ = inbox.send(Input::NewsEnded(number, cause)).await;
+        };
+        self.asked.insert(number, spawn_local(task).abort_handle());
+    }
+
+    fn fetch(&mut self, number: u64) {
+        let (inbox, address, terms) = (self.inbox.clone(), self.discovery, self.terms.clone());
+        let longest = self.room.roster;
+        let task = async move {
+            let heard = match roster::fetch(address, &terms.zones, longest).await {
+                Ok(news) => Input::News(number, news),
+                Err(trouble) => Input::NewsEnded(number, format!("{trouble:#}")),
+            };
+            let _ = inbox.send(heard).await;
+        };
+        self.asked.insert(number, spawn_local(task).abort_handle());
+    }
+
+    fn tell(&self, peer: Option<usize>, message: Vec<u8>) {
+        let to = match peer {
+            Some(place) => self.peers.each.get(place).copied(),
+            None => self.peers.all,
+        };
+        if let (Some(socket), Some(to)) = (&self.datagrams, to) {
+            // A datagram may be lost anyway.
+            let _ = socket.try_send_to(&message, to);
+        }
+    }
+}
--- a/crates/conductor/src/run/hooks.rs
+++ b/crates/conductor/src/run/hooks.rs
@@ -1,21 +1,17 @@
 //! Hooks at a conductor: a view goes to their thread once a round, and what they settle comes back as an input.
-//! And the sub-commands by which scripts are checked and tried without a conductor.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
 use oatpitch::interface::{Advice, Mandate, Time};
-use oatpitch_hooks::core::answer::Point;
 use oatpitch_hooks::core::guard::Bounds;
 use oatpitch_hooks::core::standing::Terms;
 use oatpitch_hooks::core::view::{View, Words};
-use oatpitch_hooks::engine::{Limits, Program, Shown};
-use oatpitch_hooks::set::{Named, Report, Set};
+use oatpitch_hooks::engine::Limits;
+use oatpitch_hooks::set::{Named, Report};
 use oatpitch_hooks::worker::{Ask, Told, Worker};
 use oatpitch_memory::Input;
 use oatpitch_memory::reducer::Memory;
-use oatpitch_operator::Text;
 use oatpitch_operator::records::hooks::{Hook, Hooks as Record};
 use tokio::sync::mpsc;
 
@@ -38,17 +34,17 @@
     pub skipped: u64,
 }
 
-fn bounds(record: &Record) -> Bounds {
+pub fn bounds(record: &Record) -> Bounds {
     let Record { least, most, let_in, lines, stand, .. } = *record;
     Bounds { least, most, let_in, lines, hold: stand }
 }
 
-fn terms(record: &Record) -> Terms {
+pub fn terms(record: &Record) -> Terms {
     let Record { failures, span, wait, wait_most, good, round, .. } = *record;
     Terms { failures, span, wait, wait_most, good, round }
 }
 
-fn limits(hook: &Hook) -> Limits {
+pub fn limits(hook: &Hook) -> Limits {
     let wall = Duration::from_micros(hook.wall.0.saturating_mul(100));
     Limits { operations: hook.operations, wall, memory: hook.memory }
 }
@@ -76,7 +72,7 @@
     (all, unread)
 }
 
-fn line(report: &Report) -> String {
+pub fn line(report: &Report) -> String {
     format!("hook {}: {}", report.hook, report.what)
 }
 
@@ -189,94 +185,3 @@
         (inputs, steps.iter().map(|step| (step.bad, line(step))).collect())
     }
 }
-
-// ---- Without a conductor ----
-
-/// What `--set` says, by key.
-fn set_by(settings: &[String]) -> Result<serde_json::Value> {
-    let mut set = serde_json::Map::new();
-    for pair in settings {
-        let (key, value) =
-            pair.split_once('=').with_context(|| format!("--set {pair}: KEY=VALUE is meant"))?;
-        // What is no JSON is a text.
-        let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
-        set.insert(key.into(), value);
-    }
-    Ok(serde_json::Value::Object(set))
-}
-
-fn load(path: &Path, settings: &serde_json::Value, limits: Limits) -> Result<(Program, String)> {
-    let source = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
-    match Program::load(&source, limits, settings, &Shown::from(View::sample())) {
-        Ok(program) => Ok((program, source)),
-        Err(trouble) => bail!("{}{}: {}", path.display(), trouble.place(), trouble.what),
-    }
-}
-
-/// What holds for one hook where operators say nothing but its name, as their records have it.
-fn usual() -> Result<Record> {
-    let source = r#"hooks: each: [{name: "tried", script: "tried"}]"#.to_string();
-    let settled = oatpitch_operator::check(&[Text { name: "usual".into(), source }])?;
-    settled.operator.hooks.context("hooks: no defaults")
-}
-
-/// The limits of that hook.
-fn usual_limits(record: &Record) -> Result<Limits> {
-    record.each.first().map(limits).context("hooks.each: no defaults")
-}
-
-/// Loads, checks and tries a script.
-pub fn check(path: &Path, settings: &[String]) -> Result<()> {
-    let (program, _) = load(path, &set_by(settings)?, usual_limits(&usual()?)?)?;
-    let points: Vec<String> = program.points().iter().map(Point::to_string).collect();
-    println!("{}: sound, at {}", path.display(), points.join(", "));
-    for (name, setting) in program.declared() {
-        let usual = setting.usual.as_ref().map_or("must be set".into(), |usual| format!("default {usual}"));
-        println!("  {name}: {}, {usual}", setting.kind);
-    }
-    Ok(())
-}
-
-/// Prints what a script makes of a recorded view: what goes in, what is settled, and what the guards cut.
-pub fn run(path: &Path, settings: &[String], input: Option<&Path>) -> Result<()> {
-    let (record, settings) = (usual()?, set_by(settings)?);
-    let limits = usual_limits(&record)?;
-    let (_, source) = load(path, &settings, limits.clone())?;
-    let view = match input {
-        Some(input) => {
-            let text = std::fs::read(input).with_context(|| input.display().to_string())?;
-            serde_json::from_slice(&text).with_context(|| input.display().to_string())?
-        }
-        None => View::sample(),
-    };
-    let name = path.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
-    // Nobody waits for a round here: what its calls may take binds.
-    let (bounds, terms) = (bounds(&record), Terms { round: Time::from_ms(1_000), ..terms(&record) });
-    let mut set = Set::new(bounds.clone(), terms.clone());
-    let place = path.display().to_string();
-    let named = Named { name, place, source, order: 0, limits, settings };
-    let shown = Shown::from(view);
-    for report in set.renew(bounds, terms, vec![named], &shown) {
-        println!("{}", line(&report));
-    }
-    println!("input: {}", serde_json::to_string(&*shown.0)?);
-    let (settled, reports) = set.round(Time(shown.0.now_ms.saturating_mul(10)), &shown);
-    for report in &reports {
-        println!("{}", line(report));
-    }
-    println!(
-        "shares: {:?}\nlevels by class: {:?}\ntries by class: {:?}",
-        settled.shares, settled.levels, settled.tries
-    );
-    println!("parts by proxy: {:?}", settled.parts);
-    for ((_, point, rule), count) in &set.cuts {
-        println!("cut at {point}, {rule}: {count}");
-    }
-    Ok(())
-}
-
-/// Prints the view that scripts are tried on, to be changed and handed to `run`.
-pub fn sample() -> Result<()> {
-    println!("{}", serde_json::to_string_pretty(&View::sample())?);
-    Ok(())
-}
--- /dev/null
+++ b/crates/conductor/src/run/serve/start.rs
@@ -0,0 +1,195 @@
+//! Sets a conductor up: its sockets, its channel and hooks, and the reducer.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use anyhow::Result;
+use oatpitch_channel::net::server::{Event, Server};
+use oatpitch_hooks::core::view::Words;
+use oatpitch_memory::Input;
+use oatpitch_memory::reducer::{Memory, Start};
+use oatpitch_operator::Operator;
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::spawn_local;
+
+use super::Conductor;
+use crate::run::accept::Acceptor;
+use crate::run::claim::claim;
+use crate::run::clock::Clock;
+use crate::run::config::Posting;
+use crate::run::connection::{ConnIds, Conns};
+use crate::run::effects::Hands;
+use crate::run::hooks::{self, Hooks};
+use crate::run::signals::Signals;
+use crate::run::{channel, peers};
+use crate::wire::heard::Terms;
+use crate::wire::limits;
+use crate::wire::stream::{self, Budget, Entered, Reader};
+
+/// What a conductor listens on.
+pub struct Sockets {
+    listener: TcpListener,
+    datagrams: Option<Rc<UdpSocket>>,
+}
+
+impl Sockets {
+    /// Opens them; nothing where the conductor is stopped before it listens.
+    pub async fn open(log: &Logger, signals: &mut Signals, posting: &Posting) -> Result<Option<Sockets>> {
+        // All that there are places for may dial at once: who finds no place in the queue comes again a second
+        // later.
+        let open = async || stream::listen(posting.listen, places(posting));
+        let Some(listener) = claim(log, signals, "listen", posting.listen, open).await? else {
+            return Ok(None);
+        };
+        let datagrams = match posting.peers.listen {
+            Some(at) => claim(log, signals, "peer_listen", at, async || UdpSocket::bind(at).await).await?,
+            None => None,
+        };
+        Ok(Some(Sockets { listener, datagrams: datagrams.map(Rc::new) }))
+    }
+}
+
+/// The most connections at a time.
+fn places(posting: &Posting) -> usize {
+    posting.sockets - limits::SOCKETS_OWN
+}
+
+impl Conductor {
+    pub async fn start(
+        log: Logger,
+        sockets: Sockets,
+        mut posting: Posting,
+        files: Vec<PathBuf>,
+        operator: Operator,
+    ) -> Result<Conductor> {
+        let clock = Clock::start(posting.charge.tick);
+        let (inbox, inputs) = mpsc::channel(limits::INBOX_MOST);
+        let ids = ConnIds::default();
+        let (server, events) = open_channel(&log, &operator, &posting, clock, &ids).await?.unzip();
+        let hooks = start_hooks(&log, &operator, &posting, &files);
+        let turned = clock.now();
+        let start = memory_start(&mut posting, &operator);
+        let nodes = start.known.entries.len();
+        let (mut memory, effects) = Memory::begin(turned, start);
+        let mut hands = hands(&log, &inbox, &posting, &sockets, server);
+        info!(log, "listening on {}, seed {:016x}, nodes known: {nodes}", posting.listen, posting.seed);
+        listen(sockets, &hands, &posting, ids);
+        let clogged = hands.carry_out(effects, &mut memory.counters);
+        hands.publish(turned, memory.settled());
+        let (stated, unread) = (posting, None);
+        Ok(Conductor {
+            log,
+            clock,
+            memory,
+            hands,
+            inputs,
+            events,
+            hooks,
+            operator,
+            files,
+            stated,
+            unread,
+            turned,
+            clogged,
+        })
+    }
+}
+
+/// Opens the snapshot channel, where the operator has one.
+async fn open_channel(
+    log: &Logger,
+    operator: &Operator,
+    posting: &Posting,
+    clock: Clock,
+    ids: &ConnIds,
+) -> Result<Option<(Server, mpsc::Receiver<Event>)>> {
+    let Some(record) = &operator.channel else { return Ok(None) };
+    let origin = channel::Origin {
+        conductor: &posting.name,
+        started: clock.now(),
+        mandate: &posting.charge.mandate,
+        classes: &posting.charge.classes,
+        zones: &posting.charge.zones,
+        seed: posting.seed,
+    };
+    let (now, ids) = (Rc::new(move || clock.now()), ids.clone());
+    let opened = channel::open(record, &origin, now, Rc::new(move || ids.next())).await?;
+    info!(log, "publishing on {}", record.listen);
+    Ok(Some(opened))
+}
+
+/// Starts the operator's hooks, where there are any.
+fn start_hooks(log: &Logger, operator: &Operator, posting: &Posting, files: &[PathBuf]) -> Option<Hooks> {
+    let record = operator.hooks.as_ref()?;
+    let charge = &posting.charge;
+    let words = Words { zones: charge.zones.clone(), classes: charge.classes.clone(), ahead: 0 };
+    let (hooks, lines) = Hooks::start(record, &hooks::folder(files), charge.mandate.clone(), words);
+    lines.iter().for_each(|line| warn!(log, "{line}"));
+    info!(log, "hooks: {}", record.each.len());
+    Some(hooks)
+}
+
+/// What the reducer starts from. The list known is for the start alone, and leaves the posting.
+fn memory_start(posting: &mut Posting, operator: &Operator) -> Start {
+    let followers = operator.channel.as_ref().map_or(0, |record| record.subscribers);
+    Start {
+        mandate: posting.charge.mandate.clone(),
+        classes: posting.charge.classes.len() as u16,
+        seed: posting.seed,
+        known: std::mem::take(&mut posting.known),
+        discovery: posting.discovery,
+        places: places(posting) + followers,
+    }
+}
+
+/// What carries out the reducer's effects.
+fn hands(
+    log: &Logger,
+    inbox: &mpsc::Sender<Input>,
+    posting: &Posting,
+    sockets: &Sockets,
+    channel: Option<Server>,
+) -> Hands {
+    let terms = Terms {
+        zones: posting.charge.zones.clone(),
+        classes: posting.charge.classes.clone(),
+        proxies: posting.charge.mandate.proxies,
+        longest: limits::mean_longest(&posting.charge.mandate),
+    };
+    Hands {
+        log: log.clone(),
+        inbox: inbox.clone(),
+        conns: Conns::default(),
+        terms: Rc::new(terms),
+        room: limits::room(posting.memory_mb, posting.sockets),
+        discovery: posting.discovery,
+        asked: BTreeMap::new(),
+        peers: posting.peers.clone(),
+        datagrams: sockets.datagrams.clone(),
+        wake: None,
+        channel,
+        entered: Entered::default(),
+        head: posting.charge.mandate.message_head,
+    }
+}
+
+/// Starts the tasks that take connections and datagrams.
+fn listen(sockets: Sockets, hands: &Hands, posting: &Posting, ids: ConnIds) {
+    let reader =
+        Reader { terms: hands.terms.clone(), inbox: hands.inbox.clone(), budget: Budget::of(hands.room) };
+    let acceptor = Acceptor {
+        listener: sockets.listener,
+        reader,
+        conns: hands.conns.clone(),
+        entered: hands.entered.clone(),
+        places: Rc::new(Semaphore::new(places(posting))),
+        ids,
+    };
+    spawn_local(acceptor.run());
+    if let Some(socket) = sockets.datagrams {
+        spawn_local(peers::receive(socket, posting.peers.each.clone(), hands.inbox.clone()));
+    }
+}
--- /dev/null
+++ b/crates/memory/src/reducer/connections.rs
@@ -0,0 +1,219 @@
+//! Connections: who is at the other end of each, what it says, and how it ends.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use oatpitch::interface::*;
+
+use super::Memory;
+use crate::heard::Said;
+use crate::{ConnId, Effect, Ending, limits, must};
+
+/// Who is at the other end of a connection, as far as it has said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Party {
+    Stranger,
+    Collector,
+    Proxy(ProxyId),
+}
+
+impl Memory {
+    pub(super) fn opened(&mut self, conn: ConnId, peer: SocketAddr) {
+        self.counters.add("connections opened", 1);
+        self.conns.insert(conn, (Party::Stranger, peer));
+        self.strangers.insert(conn, self.now);
+        self.counters.peak("connections at most", self.conns.len() as u64);
+    }
+
+    pub(super) fn refused(&mut self) {
+        self.counters.add("connections refused", 1);
+        self.end_oldest(limits::REFUSED_ROOM);
+    }
+
+    /// Strangers leave some places free; where those that joined have taken nearly all, half of what is left.
+    fn crowded(&self) -> bool {
+        let joined = self.conns.len().saturating_sub(self.strangers.len() + self.dismissed.len());
+        let left = self.places.saturating_sub(joined);
+        let free = self.places / limits::SOCKETS_FREE_PART;
+        self.strangers.len() > left.saturating_sub(free).max(left / 2)
+    }
+
+    /// When the oldest stranger is to be ended.
+    pub(super) fn dismissal(&self) -> Option<Time> {
+        let patience = if self.crowded() { limits::NEWCOMER } else { limits::STRANGER_LONGEST };
+        self.strangers.first_key_value().map(|(_, since)| *since + patience)
+    }
+
+    /// Dismisses those that have had their time to join; who only asked for a sign of life has had the answer.
+    pub(super) fn dismiss(&mut self) {
+        while self.dismissal().is_some_and(|due| due <= self.now) {
+            let counter = if self.crowded() { "strangers ended for room" } else { "strangers ended in time" };
+            self.counters.add(counter, 1);
+            self.end_oldest(1);
+        }
+    }
+
+    /// Dismisses connections that have not joined, the oldest first, once their first message can have come.
+    /// Whoever reads them ends them, unless they have joined by then: what came may not have been heard yet, as
+    /// after a stall, and a proxy turned away has no other conductor to answer for it.
+    fn end_oldest(&mut self, count: usize) {
+        let old = |(_, since): &(&ConnId, &Time)| **since + limits::NEWCOMER <= self.now;
+        let oldest: Vec<ConnId> =
+            self.strangers.iter().take_while(old).take(count).map(|(conn, _)| *conn).collect();
+        for conn in oldest {
+            self.strangers.remove(&conn);
+            self.dismissed.insert(conn);
+            self.effects.push(Effect::Dismiss(conn));
+        }
+    }
+
+    pub(super) fn said(&mut self, conn: ConnId, said: Said) {
+        let Some((party, _)) = self.conns.get(&conn).copied() else {
+            // Ended by the memory while this was on its way.
+            return self.counters.add("messages of ended connections", 1);
+        };
+        match (said, party) {
+            (Said::Probe, _) => {
+                self.counters.add("probes answered", 1);
+                self.effects.push(Effect::Alive(conn));
+            }
+            (Said::Collector { .. }, Party::Stranger | Party::Collector) => {
+                self.counters.add("collectors", 1);
+                self.name(conn, Party::Collector);
+            }
+            (Said::Joined { proxy, zone, rate, fresh, anew, tags }, Party::Stranger) => {
+                if self.claim_stream(conn, proxy) {
+                    self.join(conn, proxy, anew, tags);
+                    self.balance.joined(self.now, proxy, zone, rate, fresh);
+                }
+            }
+            (Said::Acknowledged { proxy, mark, took }, Party::Proxy(own)) if own == proxy => {
+                self.acknowledged(proxy, mark, took);
+            }
+            (Said::Met { node, zone, tries, lost, mean, span, load }, Party::Collector) => {
+                let Some(node) = self.names.id(&node) else {
+                    return self.counters.add("sums of nodes never listed", 1);
+                };
+                self.counters.add("sums heard", 1);
+                self.balance.met(self.now, &Met { node, zone, span, tries, lost, mean, load });
+            }
+            (Said::Asked { proxy, class, exchanges, lost, span }, party)
+                if party == Party::Collector || party == Party::Proxy(proxy) =>
+            {
+                self.demanded(proxy, Asked { proxy: Some(proxy), class, exchanges, lost, span });
+            }
+            _ => self.unusable(conn, "messages out of place", "out of place"),
+        }
+    }
+
+    /// Makes a connection the only one of its proxy: one held before it is over. False if it is the older.
+    fn claim_stream(&mut self, conn: ConnId, proxy: ProxyId) -> bool {
+        let held = self.ordered.streams.get(&proxy).map(|stream| stream.conn);
+        if held.is_some_and(|held| held > conn) {
+            // The greeting of a connection given up since, late: the newer one is the proxy's stream,
+            // whichever is heard last.
+            self.counters.add("streams overtaken", 1);
+            self.drop_conn(conn);
+            return false;
+        }
+        self.counters.add("streams opened", 1);
+        if let Some(old) = held {
+            // Dialled anew before the old end was seen: the old one is over.
+            self.counters.add("streams replaced", 1);
+            self.drop_conn(old);
+        }
+        true
+    }
+
+    fn join(&mut self, conn: ConnId, proxy: ProxyId, anew: bool, tags: BTreeMap<String, String>) {
+        self.name(conn, Party::Proxy(proxy));
+        self.ordered.join(proxy, conn, anew);
+        if !tags.is_empty() {
+            self.tags.insert(proxy, tags);
+        }
+    }
+
+    fn acknowledged(&mut self, proxy: ProxyId, mark: u64, took: Time) {
+        match self.ordered.answered(self.now, proxy, mark, took) {
+            Some(mark) => {
+                self.counters.add("marks answered", 1);
+                self.balance.acknowledged(self.now, mark, took);
+            }
+            None => self.counters.add("marks never ordered", 1),
+        }
+    }
+
+    fn demanded(&mut self, proxy: ProxyId, asked: Asked) {
+        if self.ordered.streams.contains_key(&proxy) {
+            self.counters.add("demand heard", 1);
+            self.balance.asked(self.now, &asked);
+        } else {
+            self.counters.add("demand of proxies not joined", 1);
+        }
+    }
+
+    /// A message that can't be used costs one who has joined that message alone, as those around it are good.
+    /// Of a stranger nothing is known that would make it worth keeping.
+    pub(super) fn unusable(&mut self, conn: ConnId, counter: &'static str, cause: &str) {
+        match self.conns.get(&conn).copied() {
+            None => self.counters.add("messages of ended connections", 1),
+            Some((Party::Stranger, _)) => self.fault(conn, "faults: strangers", cause),
+            Some((party, peer)) => {
+                self.counters.add(counter, 1);
+                self.complain(format!("{peer} ({party:?}): a message dropped: {cause}"));
+            }
+        }
+    }
+
+    fn name(&mut self, conn: ConnId, party: Party) {
+        self.strangers.remove(&conn);
+        self.dismissed.remove(&conn);
+        if let Some(known) = self.conns.get_mut(&conn) {
+            known.0 = party;
+        }
+    }
+
+    pub(super) fn ended(&mut self, conn: ConnId, ending: Ending) {
+        if !self.conns.contains_key(&conn) {
+            return;
+        }
+        match ending {
+            Ending::Closed => self.counters.add("connections closed", 1),
+            Ending::Broken => self.counters.add("connections broken", 1),
+            Ending::Dismissed => self.counters.add("strangers ended", 1),
+            Ending::Unread => {
+                return self.fault(conn, "faults: unread", "too much is left unread");
+            }
+            Ending::Crowded => {
+                return self.fault(conn, "faults: crowded", "buffers are full");
+            }
+            Ending::Unusable(cause) => {
+                return self.fault(conn, "faults: unusable", &cause.to_string());
+            }
+        }
+        self.drop_conn(conn);
+    }
+
+    /// A connection that can't be gone on with is ended, and it alone.
+    fn fault(&mut self, conn: ConnId, counter: &'static str, cause: &str) {
+        self.counters.add(counter, 1);
+        if let Some((party, peer)) = self.conns.get(&conn).copied() {
+            self.complain(format!("{peer} ({party:?}) ended: {cause}"));
+        }
+        self.drop_conn(conn);
+    }
+
+    fn drop_conn(&mut self, conn: ConnId) {
+        self.strangers.remove(&conn);
+        self.dismissed.remove(&conn);
+        self.effects.push(Effect::End(conn));
+        if let Some((Party::Proxy(proxy), _)) = self.conns.remove(&conn) {
+            let own = self.ordered.streams.get(&proxy).is_some_and(|stream| stream.conn == conn);
+            must!(self.counters, own, "a proxy's connection is its stream");
+            self.counters.add("streams ended", 1);
+            self.ordered.leave(proxy);
+            self.tags.remove(&proxy);
+            self.balance.left(self.now, proxy);
+        }
+    }
+}
