Timers of the module: bells and Input::Bell are timers and Input::TimerFired

Cause: a metaphor of our own. Change: renamed; the keys of counters, which docs/on-call.md names, stay as they are. Mechanical, no behaviour changed, no assertion touched.

--- a/crates/conductor/benches/turns.rs
+++ b/crates/conductor/benches/turns.rs
@@ -98,7 +98,7 @@
     memory.turn(now, [Input::Opened(collector, ([127, 0, 0, 1], 9).into()), said]);
     for _ in 0..20 {
         now = now + Time::from_ms(100);
-        memory.turn(now, [Input::Bell]);
+        memory.turn(now, [Input::TimerFired]);
     }
     (memory, now)
 }
@@ -114,7 +114,7 @@
             PeerMessage::Met { zone: ZoneId(0), node, tries, lost, mean, span, load: None },
         )
     };
-    (0..20).map(sum).chain([Input::Bell]).collect()
+    (0..20).map(sum).chain([Input::TimerFired]).collect()
 }
 
 fn figures(mut times: Vec<f64>) -> (f64, f64, f64) {
--- a/crates/conductor/src/run/serve/mod.rs
+++ b/crates/conductor/src/run/serve/mod.rs
@@ -191,7 +191,7 @@
             gathered.extend(channel::inputs(event));
         }
         gathered.push(Input::Entered(self.hands.entered.take()));
-        gathered.push(Input::Bell);
+        gathered.push(Input::TimerFired);
     }
 
     /// One turn of the reducer, and what it asks for.
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -76,7 +76,8 @@
     NewsEnded(u64, String),
     /// A datagram of a peer, by its place in the list; none if it is nobody's, or too long.
     Peer(Option<usize>),
-    Bell,
+    /// The time that the last turn asked to be woken at has come, or may have.
+    TimerFired,
 }
 
 /// Levels of the log.
--- a/crates/memory/src/limits.rs
+++ b/crates/memory/src/limits.rs
@@ -15,7 +15,7 @@
 /// 3 s of connecting, of which some may go by before it is taken.
 pub const STRANGER_LONGEST: Time = Time::from_ms(1_500);
 /// What a mark may seem to have taken beyond the time since it was ordered: turns go by ticks, and their time
-/// may be that of a bell that rang late.
+/// may be that of a timer that fired late.
 pub const TOOK_SLACK: Time = Time::from_ms(50);
 /// Strangers ended for each failed accept, so that a proxy behind a queue of them is in within a second.
 pub const REFUSED_ROOM: usize = 8;
--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -94,7 +94,7 @@
     /// Orders that are effects as they stand.
     pub effects: Vec<Effect>,
     pub notes: Vec<(Option<NodeId>, String)>,
-    pub bells: BTreeSet<Time>,
+    pub timers: BTreeSet<Time>,
     pub watched: Option<bool>,
     pub fetched: bool,
 }
@@ -425,7 +425,7 @@
     }
 
     fn wake(&mut self, at: Time, _ring: u64) {
-        self.bells.insert(at);
+        self.timers.insert(at);
     }
 
     fn watch(&mut self, on: bool) {
--- a/crates/memory/src/reducer/mod.rs
+++ b/crates/memory/src/reducer/mod.rs
@@ -127,14 +127,14 @@
                 let name = if from.is_some() { "datagrams of peers" } else { "datagrams dropped" };
                 self.counters.add(name, 1);
             }
-            Input::Bell => self.timers_due(),
+            Input::TimerFired => self.timers_due(),
         }
     }
 
     /// Takes out the timers that are due, and measures how late the first one is.
     fn timers_due(&mut self) {
-        let later = self.ordered.bells.split_off(&(self.now + Time(1)));
-        let due = std::mem::replace(&mut self.ordered.bells, later);
+        let later = self.ordered.timers.split_off(&(self.now + Time(1)));
+        let due = std::mem::replace(&mut self.ordered.timers, later);
         let Some(first) = due.first().copied() else { return };
         self.counters.add("bells", 1);
         if first < self.now {
@@ -241,7 +241,7 @@
 
     /// When the next turn is due at the latest, if ever.
     fn next_wake(&self) -> Option<Time> {
-        let timer = self.ordered.bells.first().copied();
+        let timer = self.ordered.timers.first().copied();
         timer.into_iter().chain(self.watch.due()).chain(self.dismissal()).min()
     }
 
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -294,7 +294,7 @@
         Desk { memory, now: Time(1_000_000), written, alive, ended, effects, entered: 0.0, unread: false }
     }
 
-    /// Lets a span pass, the bell ringing every 50 ms.
+    /// Lets a span pass, a timer firing every 50 ms.
     fn pass(&mut self, ms: u64) {
         (0..ms.div_ceil(50)).for_each(|_| self.turn(50, []));
     }
@@ -302,7 +302,7 @@
     fn turn(&mut self, ms: u64, inputs: impl IntoIterator<Item = Input>) {
         self.now = self.now + Time::from_ms(ms);
         let entered = Input::Entered(std::mem::take(&mut self.entered));
-        let effects = self.memory.turn(self.now, inputs.into_iter().chain([entered, Input::Bell]));
+        let effects = self.memory.turn(self.now, inputs.into_iter().chain([entered, Input::TimerFired]));
         let mut dismissed = Vec::new();
         for effect in &effects {
             match effect {
@@ -908,7 +908,7 @@
             14 if how % 3 == 0 => Input::Renewed(Ok((address(which.into()), vec![]))),
             14 if how % 5 == 0 => Input::Watching(how.into()),
             14 => Input::Refused,
-            _ => Input::Bell,
+            _ => Input::TimerFired,
         }
     }
 
