Telling a proxy of one node more does not copy all that it was told

The lines at fault: `Ordered::shut` went through all nodes that a stream was ever told of, and `Rc::make_mut` copied the whole map (20,000 entries, as all nodes were let back at joining) for one node more. Now the smaller of both sets is gone through, and the map shares its parts with its copies (rpds).

--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use oatpitch::interface::*;
+use rpds::RedBlackTreeMap;
 
 use super::counters::Counters;
 use super::message::{Binding, Level, Message, Name, Part};
@@ -19,7 +20,8 @@
 }
 
 /// Nodes that a proxy was told on its stream to shut out, or to let back; shared by all that were told the same.
-type Told = Rc<BTreeMap<NodeId, bool>>;
+/// A map that shares what it has in common with its copies: telling one node more must not copy all of a fleet.
+type Told = Rc<RedBlackTreeMap<NodeId, bool>>;
 
 /// A joined proxy: what it was bound to and told on its stream.
 #[derive(Debug)]
@@ -144,7 +146,7 @@
         for stream in self.streams.values_mut().filter(known) {
             let (_, after) = shared.entry(Rc::as_ptr(&stream.told) as usize).or_insert_with(|| {
                 let mut after = (*stream.told).clone();
-                forgotten.iter().for_each(|node| _ = after.remove(node));
+                forgotten.iter().for_each(|node| _ = after.remove_mut(node));
                 (stream.told.clone(), Rc::new(after))
             });
             stream.told = after.clone();
@@ -358,7 +360,7 @@
         let mut concerned: BTreeSet<NodeId> = news.iter().copied().filter(holds).collect();
         // Of the nodes shown, only these can differ from what the proxy holds.
         concerned.extend(shape.withdrawn.iter().chain(doubtful));
-        concerned.extend(stream.told.keys().filter(|node| shape.shown.contains(node)));
+        concerned.extend(shown_and_told(&shape.shown, &stream.told));
         let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.told.clone());
         for node in concerned {
             let (shut, told) = (self.withdrawn.contains(&node), stream.told.get(&node).copied());
@@ -367,13 +369,22 @@
             if shut == told.unwrap_or(doubted) {
                 continue;
             }
-            Rc::make_mut(&mut after).insert(node, shut);
+            Rc::make_mut(&mut after).insert_mut(node, shut);
             if shut { &mut out } else { &mut back }.push(node);
         }
         (out, back, after)
     }
 }
 
+/// Nodes that are in both, found by going through the smaller.
+fn shown_and_told(shown: &BTreeSet<NodeId>, told: &RedBlackTreeMap<NodeId, bool>) -> Vec<NodeId> {
+    if shown.len() <= told.size() {
+        shown.iter().filter(|node| told.contains_key(node)).copied().collect()
+    } else {
+        told.keys().filter(|node| shown.contains(node)).copied().collect()
+    }
+}
+
 impl Orders for Ordered {
     fn line(&mut self, table: TableId, node: NodeId, weight: f64) {
         let lines = &mut self.tables.entry(table).or_default().lines;
