Membership: News is MembershipUpdate, NewsEnded DiscoveryRequestEnded

Cause: names of our own for what the roster tells. Change: renamed, with the reducer's steps (`membership_update`, `apply_update`, `apply_older_list`, `request_ended`); the keys of counters stay. Mechanical, no behaviour changed, no assertion touched.

--- a/crates/conductor/benches/turns.rs
+++ b/crates/conductor/benches/turns.rs
@@ -13,7 +13,7 @@
 use oatpitch_hooks::engine::{Limits, Shown};
 use oatpitch_hooks::set::{Named, Set};
 use oatpitch_hooks::worker::{Ask, Told, Worker};
-use oatpitch_memory::inbound::{Entry, News, PeerMessage};
+use oatpitch_memory::inbound::{Entry, MembershipUpdate, PeerMessage};
 use oatpitch_memory::reducer::{Memory, Start};
 use oatpitch_memory::{ConnId, Input};
 
@@ -70,7 +70,8 @@
 
 /// A conductor with nodes and proxies that has been going for a while.
 fn conductor(nodes: usize) -> (Memory, Time) {
-    let known = News { version: 1, whole: true, entries: (0..nodes).map(entry).collect(), unreadable: 0 };
+    let known =
+        MembershipUpdate { version: 1, whole: true, entries: (0..nodes).map(entry).collect(), unreadable: 0 };
     let start = Start {
         mandate: mandate(),
         classes: 2,
--- a/crates/conductor/src/run/config.rs
+++ b/crates/conductor/src/run/config.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result, anyhow, bail};
 use oatpitch_mandate::Charge;
-use oatpitch_memory::inbound::News;
+use oatpitch_memory::inbound::MembershipUpdate;
 use serde_json::Value;
 
 use crate::wire::{limits, roster};
@@ -27,7 +27,7 @@
     pub memory_mb: usize,
     pub sockets: usize,
     pub peers: Peers,
-    pub known: News,
+    pub known: MembershipUpdate,
     pub charge: Charge,
 }
 
@@ -92,7 +92,7 @@
         bail!("settings: specifics.slices: {}, and keys in slices are not served", charge.mandate.slices);
     }
     let known = match &config["known"] {
-        Value::Null => News::default(),
+        Value::Null => MembershipUpdate::default(),
         value => roster::decode(value.to_string().as_bytes(), &charge.zones).context("known")?,
     };
     Ok(Posting {
--- a/crates/conductor/src/run/effects.rs
+++ b/crates/conductor/src/run/effects.rs
@@ -124,12 +124,12 @@
             let ended = async {
                 let body = roster::open(address, since).await?;
                 let _ = inbox.send(Input::Watching(number)).await;
-                let pass_on = async |news| _ = inbox.send(Input::News(number, news)).await;
+                let pass_on = async |update| _ = inbox.send(Input::MembershipUpdate(number, update)).await;
                 roster::follow(body, &terms.zones, longest, pass_on).await
             };
             let ended = ended.await;
             let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
-            let _ = inbox.send(Input::NewsEnded(number, cause)).await;
+            let _ = inbox.send(Input::DiscoveryRequestEnded(number, cause)).await;
         };
         self.asked.insert(number, spawn_local(task).abort_handle());
     }
@@ -139,8 +139,8 @@
         let longest = self.room.roster;
         let task = async move {
             let heard = match roster::fetch(address, &terms.zones, longest).await {
-                Ok(news) => Input::News(number, news),
-                Err(trouble) => Input::NewsEnded(number, format!("{trouble:#}")),
+                Ok(update) => Input::MembershipUpdate(number, update),
+                Err(trouble) => Input::DiscoveryRequestEnded(number, format!("{trouble:#}")),
             };
             let _ = inbox.send(heard).await;
         };
--- a/crates/conductor/src/wire/roster.rs
+++ b/crates/conductor/src/wire/roster.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use oatpitch::interface::Standing;
 use oatpitch_frame::Lines;
-use oatpitch_memory::inbound::{Entry, News};
+use oatpitch_memory::inbound::{Entry, MembershipUpdate};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use tokio::net::TcpStream;
@@ -48,13 +48,13 @@
     1.0
 }
 
-pub fn decode(document: &[u8], zones: &[String]) -> Result<News> {
+pub fn decode(document: &[u8], zones: &[String]) -> Result<MembershipUpdate> {
     let document: Document = serde_json::from_slice(document).context("no list of nodes")?;
     let found = document.targets.len();
     let entries: Vec<Entry> =
         document.targets.into_iter().filter_map(|target| entry(target, zones)).collect();
     let unreadable = found - entries.len();
-    Ok(News { version: document.rev, whole: document.all, entries, unreadable })
+    Ok(MembershipUpdate { version: document.rev, whole: document.all, entries, unreadable })
 }
 
 fn entry(entry: &RawValue, zones: &[String]) -> Option<Entry> {
@@ -104,7 +104,7 @@
 }
 
 /// The whole list, once.
-pub async fn fetch(address: SocketAddr, zones: &[String], longest: usize) -> Result<News> {
+pub async fn fetch(address: SocketAddr, zones: &[String], longest: usize) -> Result<MembershipUpdate> {
     let body = Limited::new(ask(address, "/catalog/members").await?, longest);
     let read = tokio::time::timeout(limits::ROSTER_SILENCE, body.collect());
     let body = read.await.context("no end of the list in time")?.map_err(|trouble| anyhow!(trouble))?;
@@ -121,7 +121,7 @@
     mut body: Incoming,
     zones: &[String],
     longest: usize,
-    mut heard: impl AsyncFnMut(News),
+    mut heard: impl AsyncFnMut(MembershipUpdate),
 ) -> Result<()> {
     let (mut lines, mut line_at) = (Lines::new(longest), Instant::now());
     // Bytes that never end a line are silence too: a watch that trickles, or broke off within one, tells nothing.
@@ -167,7 +167,7 @@
             weight: 1.0,
             started: Some(Time(15_000)),
         };
-        let news = News { version: 43, whole: false, entries: vec![entry], unreadable: 0 };
+        let news = MembershipUpdate { version: 43, whole: false, entries: vec![entry], unreadable: 0 };
         assert_eq!(decode(document, &zones).expect("the page's own"), news);
     }
 
--- a/crates/memory/src/inbound.rs
+++ b/crates/memory/src/inbound.rs
@@ -72,9 +72,9 @@
     }
 }
 
-/// A document of the roster: the whole list, or what changed.
+/// A document of the roster: all members, or those that changed.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct News {
+pub struct MembershipUpdate {
     pub version: u64,
     pub whole: bool,
     pub entries: Vec<Entry>,
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -17,7 +17,7 @@
 
 use oatpitch::interface::{Advice, Time};
 
-use inbound::{News, PeerMessage, Unusable};
+use inbound::{MembershipUpdate, PeerMessage, Unusable};
 use message::Message;
 
 /// What must hold: asserted in debug builds, counted in release builds.
@@ -70,10 +70,10 @@
     Noted(Vec<String>),
     /// The watch of this number was answered.
     Watching(u64),
-    /// News of the watch, or the list of the fetch, of this number.
-    News(u64, News),
+    /// What the watch told, or the list that the fetch asked for, of this number.
+    MembershipUpdate(u64, MembershipUpdate),
     /// The watch, or the fetch, of this number has ended.
-    NewsEnded(u64, String),
+    DiscoveryRequestEnded(u64, String),
     /// A datagram of a peer, by its place in the list; none if it is nobody's, or too long.
     Peer(Option<usize>),
     /// The time that the last turn asked to be woken at has come, or may have.
--- a/crates/memory/src/reducer/discovery/mod.rs
+++ b/crates/memory/src/reducer/discovery/mod.rs
@@ -90,7 +90,7 @@
         }
     }
 
-    pub(super) fn news_ended(&mut self, number: u64, cause: &str) {
+    pub(super) fn request_ended(&mut self, number: u64, cause: &str) {
         if take(&mut self.watch.former, number).is_some() {
             self.counters.add("watches ended", 1);
             self.effects.push(Effect::Unwatch(number));
--- a/crates/memory/src/reducer/discovery/updates.rs
+++ b/crates/memory/src/reducer/discovery/updates.rs
@@ -5,33 +5,33 @@
 use oatpitch::interface::*;
 
 use super::{Ask, Memory, take};
-use crate::inbound::{Entry, News};
+use crate::inbound::{Entry, MembershipUpdate};
 use crate::{Effect, limits};
 
 impl Memory {
-    pub(in crate::reducer) fn news(&mut self, number: u64, news: News) {
-        if news.unreadable > 0 {
-            self.counters.add("entries unreadable", news.unreadable as u64);
-            self.complain(format!("discovery: {} entries can't be read", news.unreadable));
+    pub(in crate::reducer) fn membership_update(&mut self, number: u64, update: MembershipUpdate) {
+        if update.unreadable > 0 {
+            self.counters.add("entries unreadable", update.unreadable as u64);
+            self.complain(format!("discovery: {} entries can't be read", update.unreadable));
         }
         match take(&mut self.watch.fetch, number) {
-            Some(fetch) => self.fetched(fetch, news),
-            None => self.watch_told(number, news),
+            Some(fetch) => self.fetched(fetch, update),
+            None => self.watch_told(number, update),
         }
     }
 
     /// The whole list that was asked for has come.
-    fn fetched(&mut self, fetch: Ask, news: News) {
+    fn fetched(&mut self, fetch: Ask, update: MembershipUpdate) {
         self.effects.push(Effect::Unwatch(fetch.number));
-        let (version, held) = (news.version, self.watch.version);
+        let (version, held) = (update.version, self.watch.version);
         if version >= held {
             (self.watch.gap, self.watch.doubted) = (false, None);
-            self.take_news(news);
+            self.apply_update(update);
         } else if held > fetch.version {
             return self.fetch_overtaken();
         } else {
             self.watch.gap = false;
-            self.take_older(news);
+            self.apply_older_list(update);
         }
         if self.watch.wanted && self.watch.open.is_none() {
             self.watch.again = Some(self.now);
@@ -50,23 +50,23 @@
     }
 
     /// A watch told something.
-    fn watch_told(&mut self, number: u64, news: News) {
-        let (version, held) = (news.version, self.watch.version);
+    fn watch_told(&mut self, number: u64, update: MembershipUpdate) {
+        let (version, held) = (update.version, self.watch.version);
         let asked = [&mut self.watch.open, &mut self.watch.former].into_iter().flatten();
         let Some(asked) = asked.into_iter().find(|asked| asked.number == number) else {
             return self.counters.add("news of ended watches", 1);
         };
         let back = version < std::mem::replace(&mut asked.version, version);
         let former = self.watch.former.is_some_and(|former| former.number == number);
-        match (back, news.whole) {
-            (false, _) if version >= held => self.take_news(news),
+        match (back, update.whole) {
+            (false, _) if version >= held => self.apply_update(update),
             // Another watch has told it already, and what came after it.
             (false, _) => self.counters.add("news heard before", 1),
             (true, _) if former => {
                 self.counters.add("false versions", 1);
                 self.let_go(|watch| &mut watch.former);
             }
-            (true, true) => self.take_older(news),
+            (true, true) => self.apply_older_list(update),
             (true, false) => {
                 // What lies between is not known: the list held stands until the whole one comes.
                 self.counters.add("false versions", 1);
@@ -76,14 +76,14 @@
         }
     }
 
-    /// News no older than what is held.
-    fn take_news(&mut self, news: News) {
-        self.counters.add(if news.whole { "whole lists" } else { "changes of the list" }, 1);
-        (self.watch.version, self.watch.failures) = (news.version, 0);
-        let listings = self.listings(&news.entries);
+    /// MembershipUpdate no older than what is held.
+    fn apply_update(&mut self, update: MembershipUpdate) {
+        self.counters.add(if update.whole { "whole lists" } else { "changes of the list" }, 1);
+        (self.watch.version, self.watch.failures) = (update.version, 0);
+        let listings = self.listings(&update.entries);
         // With an entry missing, what is not named is not known to be gone.
-        if news.whole && news.unreadable == 0 {
-            let named: BTreeSet<&str> = news.entries.iter().map(|entry| entry.node.as_str()).collect();
+        if update.whole && update.unreadable == 0 {
+            let named: BTreeSet<&str> = update.entries.iter().map(|entry| entry.node.as_str()).collect();
             self.names.missing(&named).into_iter().for_each(|node| self.ordered.doubt(node));
             self.balance.roster_whole(self.now, &listings, false, &mut self.ordered);
         } else {
@@ -94,14 +94,14 @@
     /// A whole list older than the one held: kept by somebody on the way, or discovery has truly gone back. The
     /// one must not undo a drain nor drop what was told since; the other is taken as it stands once it still
     /// says so after the time in which all that was to be told counts as told.
-    fn take_older(&mut self, news: News) {
+    fn apply_older_list(&mut self, update: MembershipUpdate) {
         self.counters.add("older lists", 1);
-        self.complain(format!("discovery: version {} after {}", news.version, self.watch.version));
-        (self.watch.version, self.watch.failures) = (news.version, 0);
+        self.complain(format!("discovery: version {} after {}", update.version, self.watch.version));
+        (self.watch.version, self.watch.failures) = (update.version, 0);
         let (look, _) = self.look();
         let shut: BTreeSet<NodeId> =
             look.nodes.iter().filter(|node| !node.open).map(|node| node.node).collect();
-        let listings = self.listings(&news.entries);
+        let listings = self.listings(&update.entries);
         let still = |listing: &Listing| listing.standing != Standing::Ready || !shut.contains(&listing.node);
         let listings: Vec<Listing> = listings.into_iter().filter(still).collect();
         self.balance.roster_changed(self.now, &listings, &mut self.ordered);
--- a/crates/memory/src/reducer/mod.rs
+++ b/crates/memory/src/reducer/mod.rs
@@ -11,7 +11,7 @@
 use oatpitch::interface::*;
 
 use super::counters::Counters;
-use super::inbound::News;
+use super::inbound::MembershipUpdate;
 use super::names::Names;
 use super::ordered::Ordered;
 use super::{ConnId, Effect, Grade, Input, limits};
@@ -23,7 +23,7 @@
     pub mandate: Mandate,
     pub classes: u16,
     pub seed: u64,
-    pub known: News,
+    pub known: MembershipUpdate,
     pub discovery: SocketAddr,
     /// The most connections, strangers included.
     pub places: usize,
@@ -121,8 +121,8 @@
             }
             Input::Noted(lines) => lines.into_iter().for_each(|line| self.complain(line)),
             Input::Watching(number) => self.watching(number),
-            Input::News(number, news) => self.news(number, news),
-            Input::NewsEnded(number, cause) => self.news_ended(number, &cause),
+            Input::MembershipUpdate(number, update) => self.membership_update(number, update),
+            Input::DiscoveryRequestEnded(number, cause) => self.request_ended(number, &cause),
             Input::Peer(from) => {
                 let name = if from.is_some() { "datagrams of peers" } else { "datagrams dropped" };
                 self.counters.add(name, 1);
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -9,7 +9,7 @@
 use quickcheck::{Gen, QuickCheck};
 
 use super::counters::Counters;
-use super::inbound::{Entry, News, PeerMessage, Unusable};
+use super::inbound::{Entry, MembershipUpdate, PeerMessage, Unusable};
 use super::message::{Message, Part};
 use super::names::Names;
 use super::ordered::Ordered;
@@ -241,9 +241,9 @@
     Entry { node, zone: u16::from(k) % 2, kind, standing, weight: 1.0, started: None }
 }
 
-fn list(version: u64, whole: bool, nodes: &[u8]) -> News {
+fn list(version: u64, whole: bool, nodes: &[u8]) -> MembershipUpdate {
     let entries = nodes.iter().map(|k| entry(*k, Standing::Ready)).collect();
-    News { version, whole, entries, unreadable: 0 }
+    MembershipUpdate { version, whole, entries, unreadable: 0 }
 }
 
 fn hello(proxy: u16) -> PeerMessage {
@@ -378,10 +378,13 @@
     desk.pass(500);
     let table = |desk: &Desk, conn| desk.held(conn).tables["quote"].keys().cloned().collect::<Vec<_>>();
     assert_eq!(table(&desk, 1), ["s-0", "s-1", "s-2"]);
-    desk.turn(1, [Input::News(1, list(6, false, &[3]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(6, false, &[3]))]);
     desk.turn(
         1,
-        [Input::News(1, News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) })],
+        [Input::MembershipUpdate(
+            1,
+            MembershipUpdate { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) },
+        )],
     );
     assert_eq!(
         table(&desk, 1),
@@ -398,7 +401,7 @@
     }
     assert_eq!((desk.counted("marks answered"), desk.counted("marks never ordered")), (1, 3));
     // Back without a new start: the line and the way in come together.
-    desk.turn(1, [Input::News(1, list(8, false, &[1]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(8, false, &[1]))]);
     desk.pass(500);
     assert_eq!((table(&desk, 1).len(), desk.held(1).out.len()), (4, 0));
 }
@@ -426,7 +429,10 @@
 fn what_another_conductor_shut_out_is_let_back() {
     let mut desk = Desk::new(false);
     let back = Entry { started: Some(Time(10_000)), ..entry(1, Standing::Ready) };
-    desk.turn(1, [Input::News(1, News { entries: vec![back], ..list(6, false, &[]) })]);
+    desk.turn(
+        1,
+        [Input::MembershipUpdate(1, MembershipUpdate { entries: vec![back], ..list(6, false, &[]) })],
+    );
     desk.open(1, [hello(0)]);
     desk.pass(500);
     let first = &desk.written[&ConnId(1)][0].parts[0];
@@ -546,7 +552,13 @@
     let mut news = |desk: &mut Desk, name: String, standing| {
         version += 1;
         let entry = Entry { node: name, ..entry(0, standing) };
-        desk.turn(1, [Input::News(1, News { entries: vec![entry], ..list(version, false, &[]) })]);
+        desk.turn(
+            1,
+            [Input::MembershipUpdate(
+                1,
+                MembershipUpdate { entries: vec![entry], ..list(version, false, &[]) },
+            )],
+        );
     };
     for k in 0..1_000 {
         news(&mut desk, format!("n-{k}"), Standing::Ready);
@@ -598,17 +610,20 @@
     let mut waits = Vec::new();
     for number in 1..=8 {
         let ended = desk.now;
-        desk.turn(1, [Input::NewsEnded(number, "reset".into())]);
+        desk.turn(1, [Input::DiscoveryRequestEnded(number, "reset".into())]);
         while desk.watches().len() as u64 == number {
             desk.turn(10, []);
         }
         waits.push((desk.now - ended).0 / 10);
     }
     assert!((50..=170).contains(&waits[0]) && (400..=1_300).contains(&waits[7]), "{waits:?}");
-    desk.turn(1, [Input::News(9, list(6, false, &[3]))]);
+    desk.turn(1, [Input::MembershipUpdate(9, list(6, false, &[3]))]);
     // The end of an earlier watch, and its news, are nothing to this one.
-    desk.turn(1, [Input::NewsEnded(3, "late".into()), Input::News(3, list(1, true, &[]))]);
-    desk.turn(1, [Input::NewsEnded(9, "reset".into())]);
+    desk.turn(
+        1,
+        [Input::DiscoveryRequestEnded(3, "late".into()), Input::MembershipUpdate(3, list(1, true, &[]))],
+    );
+    desk.turn(1, [Input::DiscoveryRequestEnded(9, "reset".into())]);
     desk.pass(300);
     assert_eq!(desk.watches().last(), Some(&(10, 6)));
 }
@@ -629,20 +644,23 @@
     desk.turn(1, [Input::Renewed(Ok((address(3), vec![])))]);
     assert_eq!(desk.watches(), [(1, 5), (2, 5), (3, 5)]);
     assert!(unwatched(&desk, 2) && !unwatched(&desk, 1));
-    desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::Watching(2)]);
-    desk.turn(1, [Input::NewsEnded(3, "refused".into())]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(6, false, &[3])), Input::Watching(2)]);
+    desk.turn(1, [Input::DiscoveryRequestEnded(3, "refused".into())]);
     desk.pass(200);
     assert_eq!(desk.watches().last(), Some(&(4, 6)));
     assert!(!unwatched(&desk, 1));
-    desk.turn(1, [Input::Watching(4), Input::News(1, list(7, false, &[4]))]);
+    desk.turn(1, [Input::Watching(4), Input::MembershipUpdate(1, list(7, false, &[4]))]);
     assert!(unwatched(&desk, 1));
-    desk.turn(1, [Input::News(4, list(7, false, &[5]))]);
+    desk.turn(1, [Input::MembershipUpdate(4, list(7, false, &[5]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-1", "s-2", "s-3", "s-5"]);
     assert!(desk.ended.is_empty());
     assert_eq!((desk.counted("configurations refused"), desk.counted("configurations read anew")), (1, 3));
     // The old address ends its watch by itself: no cause to dial the new one again.
-    desk.turn(1, [Input::Renewed(Ok((address(4), vec![]))), Input::NewsEnded(4, "closed".into())]);
+    desk.turn(
+        1,
+        [Input::Renewed(Ok((address(4), vec![]))), Input::DiscoveryRequestEnded(4, "closed".into())],
+    );
     desk.pass(500);
     assert_eq!(desk.watches().len(), 5);
 }
@@ -653,15 +671,15 @@
 #[test]
 fn a_false_version_leads_to_the_whole_list() {
     let mut desk = Desk::new(false);
-    desk.turn(1, [Input::News(1, list(2, false, &[7]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(2, false, &[7]))]);
     assert!(desk.effects.contains(&Effect::Unwatch(1)));
     desk.pass(300);
     assert_eq!(desk.fetches(), [2]);
     assert_eq!(desk.watches().len(), 1);
-    desk.turn(1, [Input::NewsEnded(2, "half a document".into())]);
+    desk.turn(1, [Input::DiscoveryRequestEnded(2, "half a document".into())]);
     desk.pass(500);
     assert_eq!(desk.fetches(), [2, 3]);
-    desk.turn(1, [Input::News(3, list(3, true, &[0, 4]))]);
+    desk.turn(1, [Input::MembershipUpdate(3, list(3, true, &[0, 4]))]);
     desk.pass(100);
     assert_eq!(desk.watches().last(), Some(&(4, 3)));
     desk.open(1, [hello(0)]);
@@ -669,7 +687,7 @@
     assert_eq!(desk.held(1).tables["quote"].keys().collect::<Vec<_>>(), ["s-0", "s-1", "s-2", "s-4"]);
     desk.pass(limits::TOLD_LATEST.0 / 10);
     assert_eq!((desk.fetches(), desk.watches().len()), (vec![2, 3, 5], 2));
-    desk.turn(1, [Input::News(5, list(3, true, &[0, 4]))]);
+    desk.turn(1, [Input::MembershipUpdate(5, list(3, true, &[0, 4]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).open("quote"), ["s-0", "s-4"]);
     desk.pass(2 * limits::TOLD_LATEST.0 / 10);
@@ -679,33 +697,42 @@
 /// Guards against an older list, kept by somebody on the way, undoing a drain or dropping what was told since.
 #[test]
 fn an_older_list_neither_undoes_a_drain_nor_drops_a_node() {
-    let drain = |version, standing| News { entries: vec![entry(1, standing)], ..list(version, false, &[]) };
+    let drain = |version, standing| MembershipUpdate {
+        entries: vec![entry(1, standing)],
+        ..list(version, false, &[])
+    };
     for watched in [true, false] {
         let mut desk = Desk::new(false);
         desk.open(1, [hello(0)]);
         desk.pass(500);
-        desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::News(1, drain(8, Standing::Draining))]);
+        desk.turn(
+            1,
+            [
+                Input::MembershipUpdate(1, list(6, false, &[3])),
+                Input::MembershipUpdate(1, drain(8, Standing::Draining)),
+            ],
+        );
         desk.pass(500);
         assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3"]);
         let old = list(5, true, &[0, 1, 2, 4]);
         if watched {
-            desk.turn(1, [Input::News(1, old)]);
+            desk.turn(1, [Input::MembershipUpdate(1, old)]);
         } else {
-            desk.turn(1, [Input::News(1, list(7, false, &[]))]);
+            desk.turn(1, [Input::MembershipUpdate(1, list(7, false, &[]))]);
             desk.pass(300);
             assert_eq!(desk.fetches(), [2]);
-            desk.turn(1, [Input::News(2, old)]);
+            desk.turn(1, [Input::MembershipUpdate(2, old)]);
         }
         desk.pass(500);
         assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
         // What came after it is told again, and the list as it stands is asked for in the end.
         let number = desk.watches().last().expect("a watch").0;
         assert_eq!(number, if watched { 1 } else { 3 });
-        desk.turn(1, [Input::News(number, drain(8, Standing::Draining))]);
+        desk.turn(1, [Input::MembershipUpdate(number, drain(8, Standing::Draining))]);
         desk.pass(limits::TOLD_LATEST.0 / 10);
         assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
         let fetch = *desk.fetches().last().expect("a fetch");
-        desk.turn(1, [Input::News(fetch, list(9, true, &[0, 1, 2, 4]))]);
+        desk.turn(1, [Input::MembershipUpdate(fetch, list(9, true, &[0, 1, 2, 4]))]);
         desk.pass(500);
         assert_eq!(desk.held(1).open("quote"), ["s-0", "s-1", "s-2", "s-4"]);
         assert_eq!((desk.counted("older lists"), desk.ended.len()), (1, 0));
@@ -720,17 +747,17 @@
     desk.pass(500);
     // Discovery moves; the new one is behind and says so by a version that can't be.
     desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
-    desk.turn(1, [Input::News(2, list(4, false, &[]))]);
+    desk.turn(1, [Input::MembershipUpdate(2, list(4, false, &[]))]);
     desk.pass(300);
     assert_eq!(desk.fetches(), [3]);
-    let drain = News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
-    desk.turn(1, [Input::News(1, drain), Input::News(3, list(5, true, &[0, 1, 2]))]);
+    let drain = MembershipUpdate { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
+    desk.turn(1, [Input::MembershipUpdate(1, drain), Input::MembershipUpdate(3, list(5, true, &[0, 1, 2]))]);
     desk.pass(300);
     let held = desk.held(1);
     assert!(!held.tables["quote"].contains_key("s-1") || held.out.contains("s-1"));
     assert_eq!((desk.counted("lists overtaken"), desk.fetches().len()), (1, 2));
     let fetch = *desk.fetches().last().expect("a fetch");
-    desk.turn(1, [Input::News(fetch, list(7, true, &[0, 2]))]);
+    desk.turn(1, [Input::MembershipUpdate(fetch, list(7, true, &[0, 2]))]);
     desk.pass(200);
     assert_eq!(desk.watches().last().map(|watch| watch.1), Some(7));
 }
@@ -740,20 +767,26 @@
 #[test]
 fn what_was_given_up_says_nothing_of_what_is_open() {
     let mut desk = Desk::new(false);
-    desk.turn(1, [Input::News(1, list(2, false, &[]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(2, false, &[]))]);
     desk.pass(300);
     assert_eq!(desk.fetches(), [2]);
     // The fetch fails at the address left, in the same turn in which discovery moves and once the watch stands.
     desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
     assert!(desk.effects.contains(&Effect::Unwatch(2)));
     assert_eq!(desk.fetches(), [2, 3]);
-    desk.turn(1, [Input::NewsEnded(2, "reset".into()), Input::News(2, list(9, true, &[0]))]);
+    desk.turn(
+        1,
+        [Input::DiscoveryRequestEnded(2, "reset".into()), Input::MembershipUpdate(2, list(9, true, &[0]))],
+    );
     assert_eq!((desk.counted("watches ended"), desk.counted("whole lists")), (1, 0));
-    desk.turn(1, [Input::News(3, list(6, true, &[0, 1, 2, 3]))]);
+    desk.turn(1, [Input::MembershipUpdate(3, list(6, true, &[0, 1, 2, 3]))]);
     desk.pass(50);
     assert_eq!(desk.watches().last(), Some(&(4, 6)));
-    desk.turn(1, [Input::NewsEnded(3, "late".into()), Input::NewsEnded(2, "late".into())]);
-    desk.turn(1, [Input::News(4, list(7, false, &[4]))]);
+    desk.turn(
+        1,
+        [Input::DiscoveryRequestEnded(3, "late".into()), Input::DiscoveryRequestEnded(2, "late".into())],
+    );
+    desk.turn(1, [Input::MembershipUpdate(4, list(7, false, &[4]))]);
     desk.pass(1_000);
     assert_eq!((desk.watches().len(), desk.counted("watches ended")), (2, 1));
     desk.open(1, [hello(0)]);
@@ -770,10 +803,10 @@
     desk.pass(500);
     desk.turn(1, [Input::Renewed(Ok((address(2), vec![])))]);
     assert_eq!(desk.watches(), [(1, 5), (2, 5)]);
-    let drain = News { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
-    desk.turn(1, [Input::News(1, list(6, false, &[3])), Input::News(1, drain)]);
-    desk.turn(1, [Input::Watching(2), Input::News(2, list(6, false, &[1, 3]))]);
-    desk.turn(1, [Input::News(2, list(8, false, &[4]))]);
+    let drain = MembershipUpdate { entries: vec![entry(1, Standing::Draining)], ..list(7, false, &[]) };
+    desk.turn(1, [Input::MembershipUpdate(1, list(6, false, &[3])), Input::MembershipUpdate(1, drain)]);
+    desk.turn(1, [Input::Watching(2), Input::MembershipUpdate(2, list(6, false, &[1, 3]))]);
+    desk.turn(1, [Input::MembershipUpdate(2, list(8, false, &[4]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).open("quote"), ["s-0", "s-2", "s-3", "s-4"]);
     assert_eq!((desk.watches().len(), desk.fetches().len()), (2, 0));
@@ -790,7 +823,7 @@
     desk.pass(500);
     desk.say(1, hello(0));
     assert_eq!(desk.ended, BTreeSet::from([ConnId(1)]));
-    desk.turn(1, [Input::News(1, list(6, false, &[3]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(6, false, &[3]))]);
     desk.pass(500);
     assert_eq!(desk.held(2).tables["quote"].len(), 4);
     assert!(!desk.written.contains_key(&ConnId(1)));
@@ -823,12 +856,12 @@
 #[test]
 fn a_bad_entry_never_empties_the_list() {
     let mut desk = Desk::new(false);
-    desk.turn(1, [Input::News(1, News { unreadable: 2, ..list(6, true, &[1]) })]);
+    desk.turn(1, [Input::MembershipUpdate(1, MembershipUpdate { unreadable: 2, ..list(6, true, &[1]) })]);
     desk.open(1, [hello(0)]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].len(), 3);
     assert_eq!(desk.counted("entries unreadable"), 2);
-    desk.turn(1, [Input::News(1, list(7, true, &[1]))]);
+    desk.turn(1, [Input::MembershipUpdate(1, list(7, true, &[1]))]);
     desk.pass(500);
     assert_eq!(desk.held(1).tables["quote"].len(), 1);
 }
@@ -838,7 +871,7 @@
 fn an_asked_roster_is_asked_by_the_module() {
     let mut desk = Desk::new(true);
     assert_eq!(desk.watches(), [(1, 5)]);
-    desk.turn(1, [Input::NewsEnded(1, "refused".into())]);
+    desk.turn(1, [Input::DiscoveryRequestEnded(1, "refused".into())]);
     desk.pass(5_000);
     assert_eq!(desk.watches().last(), Some(&(2, 5)));
 }
@@ -897,13 +930,16 @@
                 Input::Message(conn, PeerMessage::Asked { proxy, class, exchanges: tries, lost, span: time })
             }
             10 => Input::Message(conn, PeerMessage::Probe),
-            11 => Input::News(number, list(which.into(), how % 5 == 0, &[how % 8, which % 8])),
+            11 => Input::MembershipUpdate(number, list(which.into(), how % 5 == 0, &[how % 8, which % 8])),
             12 => {
                 let standing = [Standing::Draining, Standing::Gone, Standing::Ready][usize::from(how % 3)];
                 let entries = vec![entry(which % 8, standing)];
-                Input::News(number, News { entries, ..list(100 + u64::from(which), false, &[]) })
+                Input::MembershipUpdate(
+                    number,
+                    MembershipUpdate { entries, ..list(100 + u64::from(which), false, &[]) },
+                )
             }
-            13 => Input::NewsEnded(number, "cause".into()),
+            13 => Input::DiscoveryRequestEnded(number, "cause".into()),
             14 if how % 2 == 0 => Input::Peer(None),
             14 if how % 3 == 0 => Input::Renewed(Ok((address(which.into()), vec![]))),
             14 if how % 5 == 0 => Input::Watching(how.into()),
