Streams' ejections: told is ejections_sent, a turn's news its ejections

Cause: `told`, `Told`, `untold` and `news` said nothing of what they hold. Change: renamed to `ejections_sent`, `EjectionsSent`, `no_ejections` and `ejections`, and in the reducer `watch_told` to `watch_updated`. Mechanical, no behaviour changed, no test touched.

--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -18,17 +18,18 @@
     levels: BTreeMap<ClassId, Level>,
 }
 
-/// Nodes that a proxy was told on its stream to shut out, or to let back; shared by all that were told the same.
-type Told = Rc<BTreeMap<NodeId, bool>>;
+/// What a proxy was sent on its stream of each node: true to eject it, false to let it back. Shared by all that
+/// were sent the same.
+type EjectionsSent = Rc<BTreeMap<NodeId, bool>>;
 
-/// A joined proxy: what it was bound to and told on its stream.
+/// A joined proxy: what it was bound to and sent on its stream.
 #[derive(Debug)]
 pub struct Stream {
     pub conn: ConnId,
     bound: Binding,
     /// Nothing that another conductor told it lasts beyond its first whole table here.
     anew: bool,
-    told: Told,
+    ejections_sent: EjectionsSent,
     /// Which of the nodes withdrawn or let back in this turn were so since it joined: those from here on.
     since: usize,
     /// Marks not answered yet, and when they were ordered.
@@ -45,7 +46,7 @@
     bound: BTreeMap<ProxyId, BTreeSet<ClassId>>,
     mark: Option<(u16, bool)>,
     /// Nodes withdrawn or let back, in order.
-    news: Vec<NodeId>,
+    ejections: Vec<NodeId>,
 }
 
 /// What a turn says to all proxies of one binding that were, or were not, bound in it: the parts, the nodes
@@ -57,17 +58,17 @@
     doubtful: Vec<NodeId>,
 }
 
-/// All that decides what a turn says to a stream: its binding, the classes bound in the turn, what it was told
-/// by the address of that, whether it came with nothing, and from where on the turn's withdrawals concern it.
+/// All that decides what a turn says to a stream: its binding, the classes bound in the turn, the ejections
+/// sent by their address, whether it came with nothing, and from where on the turn's withdrawals concern it.
 type Alike<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, usize, bool, usize);
 
 /// What a turn says to streams that are alike, beyond the parts that they share with others.
 struct Verdict {
     /// The place of their message among all.
     group: usize,
-    /// What they were told before, kept so that its address stays its own, and after.
-    before: Told,
-    after: Told,
+    /// Ejections sent before, kept so that their address stays their own, and after.
+    before: EjectionsSent,
+    after: EjectionsSent,
     concerned: bool,
 }
 
@@ -76,8 +77,8 @@
     classes: u16,
     /// Every binding in use, once.
     bindings: BTreeSet<Binding>,
-    /// What streams that just joined were told: nothing.
-    untold: Told,
+    /// What streams that just joined were sent: nothing.
+    no_ejections: EjectionsSent,
     /// Of the last turn that ordered anything.
     revision: u64,
     tables: BTreeMap<TableId, Table>,
@@ -107,8 +108,8 @@
 
     pub fn join(&mut self, proxy: ProxyId, conn: ConnId, anew: bool) {
         let bound = self.binding(vec![None; self.classes.into()]);
-        let (told, since, marks) = (self.untold.clone(), self.turn.news.len(), BTreeMap::new());
-        let stream = Stream { conn, bound, anew, told, since, marks };
+        let (ejections_sent, since) = (self.no_ejections.clone(), self.turn.ejections.len());
+        let stream = Stream { conn, bound, anew, ejections_sent, since, marks: BTreeMap::new() };
         self.streams.insert(proxy, stream);
         self.turn.bound.remove(&proxy);
     }
@@ -139,15 +140,16 @@
             self.withdrawn.remove(node);
             self.doubtful.remove(node);
         }
-        let mut shared: BTreeMap<usize, (Told, Told)> = BTreeMap::new();
-        let known = |stream: &&mut Stream| forgotten.iter().any(|node| stream.told.contains_key(node));
+        let mut shared: BTreeMap<usize, (EjectionsSent, EjectionsSent)> = BTreeMap::new();
+        let known =
+            |stream: &&mut Stream| forgotten.iter().any(|node| stream.ejections_sent.contains_key(node));
         for stream in self.streams.values_mut().filter(known) {
-            let (_, after) = shared.entry(Rc::as_ptr(&stream.told) as usize).or_insert_with(|| {
-                let mut after = (*stream.told).clone();
+            let (_, after) = shared.entry(Rc::as_ptr(&stream.ejections_sent) as usize).or_insert_with(|| {
+                let mut after = (*stream.ejections_sent).clone();
                 forgotten.iter().for_each(|node| _ = after.remove(node));
-                (stream.told.clone(), Rc::new(after))
+                (stream.ejections_sent.clone(), Rc::new(after))
             });
-            stream.told = after.clone();
+            stream.ejections_sent = after.clone();
         }
         forgotten
     }
@@ -209,21 +211,22 @@
             let shape = shapes
                 .entry(key)
                 .or_insert_with_key(|(binding, bound)| self.shape(&turn, binding, *bound, names, counters));
-            let (told, since) = (Rc::as_ptr(&stream.told) as usize, std::mem::take(&mut stream.since));
-            let alike = (stream.bound.clone(), turn.bound.get(proxy), told, stream.anew, since);
+            let (sent, since) =
+                (Rc::as_ptr(&stream.ejections_sent) as usize, std::mem::take(&mut stream.since));
+            let alike = (stream.bound.clone(), turn.bound.get(proxy), sent, stream.anew, since);
             let verdict = verdicts.entry(alike).or_insert_with(|| {
-                let news = turn.news.get(since..).unwrap_or_default();
-                let (out, back, after) = self.shut(stream, news, shape);
+                let ejections = turn.ejections.get(since..).unwrap_or_default();
+                let (out, back, after) = self.shut(stream, ejections, shape);
                 let shuts = [&out, &back].into_iter().flatten().any(|id| names.name(*id).is_some());
                 let concerned = !shape.parts.is_empty() || shuts;
                 let group = (stream.bound.clone(), turn.bound.get(proxy), out, back);
                 let next = groups.len();
                 let group = *groups.entry(group).or_insert(next);
                 conns.resize(groups.len(), Vec::new());
-                Verdict { group, before: stream.told.clone(), after, concerned }
+                Verdict { group, before: stream.ejections_sent.clone(), after, concerned }
             });
-            debug_assert_eq!(stream.told, verdict.before);
-            stream.told = verdict.after.clone();
+            debug_assert_eq!(stream.ejections_sent, verdict.before);
+            stream.ejections_sent = verdict.after.clone();
             let Some((mark, _)) = turn.mark.filter(|(_, everyone)| *everyone || verdict.concerned) else {
                 if verdict.concerned {
                     conns[verdict.group].push(stream.conn);
@@ -239,9 +242,9 @@
             conns[verdict.group].push(stream.conn);
         }
         self.streams = streams;
-        let told = groups.into_iter().map(|(group, place)| (group, std::mem::take(&mut conns[place])));
-        let told: Vec<_> = told.filter(|(_, conns)| !conns.is_empty()).collect();
-        let messages = told.into_iter().map(|((binding, bound, out, back), conns)| {
+        let addressed = groups.into_iter().map(|(group, place)| (group, std::mem::take(&mut conns[place])));
+        let addressed: Vec<_> = addressed.filter(|(_, conns)| !conns.is_empty()).collect();
+        let messages = addressed.into_iter().map(|((binding, bound, out, back), conns)| {
             let named = |nodes: Vec<NodeId>| nodes.into_iter().filter_map(|id| names.name(id).cloned());
             let (out, back): (Vec<Name>, Vec<Name>) = (named(out).collect(), named(back).collect());
             let key = (binding.clone(), bound);
@@ -347,7 +350,12 @@
 
     /// Nodes that a proxy must be told to shut out or to let back: those it was told of otherwise on this
     /// stream, and those with a line in this message that it may have been told to shut out on an earlier.
-    fn shut(&self, stream: &Stream, news: &[NodeId], shape: &Shape) -> (Vec<NodeId>, Vec<NodeId>, Told) {
+    fn shut(
+        &self,
+        stream: &Stream,
+        ejections: &[NodeId],
+        shape: &Shape,
+    ) -> (Vec<NodeId>, Vec<NodeId>, EjectionsSent) {
         // Who is bound to nothing yet gets a table in which what is shut out has no part.
         let partly = stream.bound.iter().any(Option::is_none) && stream.bound.iter().any(Option::is_some);
         let tables: BTreeSet<TableId> = stream.bound.iter().flatten().copied().collect();
@@ -355,16 +363,16 @@
             partly || tables.iter().filter_map(|id| self.tables.get(id)).any(|t| t.lines.contains_key(node))
         };
         let doubtful: &[NodeId] = if stream.anew { &[] } else { &shape.doubtful };
-        let mut concerned: BTreeSet<NodeId> = news.iter().copied().filter(holds).collect();
+        let mut concerned: BTreeSet<NodeId> = ejections.iter().copied().filter(holds).collect();
         // Of the nodes shown, only these can differ from what the proxy holds.
         concerned.extend(shape.withdrawn.iter().chain(doubtful));
-        concerned.extend(stream.told.keys().filter(|node| shape.shown.contains(node)));
-        let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.told.clone());
+        concerned.extend(stream.ejections_sent.keys().filter(|node| shape.shown.contains(node)));
+        let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.ejections_sent.clone());
         for node in concerned {
-            let (shut, told) = (self.withdrawn.contains(&node), stream.told.get(&node).copied());
+            let (shut, sent) = (self.withdrawn.contains(&node), stream.ejections_sent.get(&node).copied());
             // A proxy keeps what another conductor told it over a change of streams.
             let doubted = !shut && !stream.anew && self.doubtful.contains(&node);
-            if shut == told.unwrap_or(doubted) {
+            if shut == sent.unwrap_or(doubted) {
                 continue;
             }
             Rc::make_mut(&mut after).insert(node, shut);
@@ -398,7 +406,7 @@
 
     fn withdraw(&mut self, node: NodeId, out: bool) {
         let _ = if out { self.withdrawn.insert(node) } else { self.withdrawn.remove(&node) };
-        self.turn.news.push(node);
+        self.turn.ejections.push(node);
     }
 
     fn forget(&mut self, node: NodeId) {
--- a/crates/memory/src/reducer/discovery/updates.rs
+++ b/crates/memory/src/reducer/discovery/updates.rs
@@ -16,7 +16,7 @@
         }
         match take(&mut self.watch.fetch, number) {
             Some(fetch) => self.fetched(fetch, update),
-            None => self.watch_told(number, update),
+            None => self.watch_updated(number, update),
         }
     }
 
@@ -49,8 +49,8 @@
         }
     }
 
-    /// A watch told something.
-    fn watch_told(&mut self, number: u64, update: MembershipUpdate) {
+    /// A watch has an update.
+    fn watch_updated(&mut self, number: u64, update: MembershipUpdate) {
         let (version, held) = (update.version, self.watch.version);
         let asked = [&mut self.watch.open, &mut self.watch.former].into_iter().flatten();
         let Some(asked) = asked.into_iter().find(|asked| asked.number == number) else {
@@ -76,7 +76,7 @@
         }
     }
 
-    /// MembershipUpdate no older than what is held.
+    /// An update no older than what is held.
     fn apply_update(&mut self, update: MembershipUpdate) {
         self.counters.add(if update.whole { "whole lists" } else { "changes of the list" }, 1);
         (self.watch.version, self.watch.failures) = (update.version, 0);
