Discovery's lists are taken up to a share of the memory, without an upper cap

A document over 4 MiB was refused for ever (a line over the longest), whatever memory was stated: 66,000 nodes are some 10 MB. The error is typed and names the key, the bytes allowed and seen.

A line over 64 KiB takes its buffer along, which a watch kept for good before.

A watch ends when no line ends and no 64 KiB of one come for 3.5 s: a whole list that comes slowly is not helped by asking for all of it again; under 18 KB a second it trickles. A trickle fast enough to be found by each look after that time went on for ever; the looks are counted now.

--- a/crates/conductor/src/wire/limits.rs
+++ b/crates/conductor/src/wire/limits.rs
@@ -15,6 +15,9 @@
 pub const MEMORY: usize = 192;
 pub const MEMORY_LEAST: usize = 16;
 
+/// A document of discovery that is taken whatever memory is stated, in bytes: some five thousand entries.
+const ROSTER_LEAST: usize = 1 << 20;
+
 /// What the memory stated leaves room for, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
@@ -23,18 +26,21 @@
     pub usual: usize,
     /// What buffers beyond the usual may hold together: an eighth; one of the longest lines always fits.
     pub shared: usize,
-    /// The longest document of discovery: five thousand entries under the least memory, which take several
-    /// times their length while they are read.
+    /// The longest document of discovery: a sixteenth, or less where the connections leave less. Its entries take about as much again while it is read: at
+    /// 160 bytes each 80,000 fit 192 MiB, and 110,000 fit 256 MiB.
     pub roster: usize,
 }
 
 pub fn room(memory_mb: usize, sockets: usize) -> Room {
     let memory = memory_mb.saturating_mul(1 << 20);
-    Room {
-        usual: (memory / 16 / sockets.max(1)).clamp(READ_ROOM, 16 << 10),
-        shared: memory / 8,
-        roster: (memory / 32).clamp(1 << 20, 4 << 20),
-    }
+    let usual = (memory / 16 / sockets.max(1)).clamp(READ_ROOM, 16 << 10);
+    let shared = memory / 8;
+    // Either way of each connection; then documents of a watch and a fetch at once, each three times.
+    let left = (memory / 3 * 2)
+        .saturating_sub(shared)
+        .saturating_sub(usual.saturating_mul(sockets).saturating_mul(2))
+        / 6;
+    Room { usual, shared, roster: (memory / 16).min(left).max(ROSTER_LEAST) }
 }
 
 /// Inputs that may wait for the reducer; readers wait beyond that.
@@ -76,28 +82,16 @@
 pub const REREAD_LAST: Duration = Duration::from_millis(3_200);
 /// For the head of discovery's answer, which an agent on the same machine gives at once.
 pub const ROSTER_ANSWER: Duration = Duration::from_millis(1_000);
-/// Without a byte for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
+/// Without progress for so long a watch is taken to be dead: an empty line comes every 2 s, and what is told
 /// must be heard within 6 s in all.
 pub const ROSTER_SILENCE: Duration = Duration::from_millis(3_500);
-/// For what has come by the end of that to be looked at.
+/// Bytes of a line that are progress before it ends: slower than 18 KB a second, which is all that a conductor is
+/// to spend, it trickles.
+pub const ROSTER_SHARE: usize = 64 << 10;
+/// For what has come by the end of that to be looked at; and how many such looks may go by without progress: frames
+/// of a long list hold over a kilobyte each, so that many make up the share.
 pub const ROSTER_LOOK: Duration = Duration::from_millis(50);
+pub const ROSTER_LOOKS: u32 = 64;
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against buffers that fit only a large machine: whatever is stated, what connections and documents
-    /// may hold leaves the rest of the conductor its part.
-    #[test]
-    fn buffers_fit_the_memory_stated() {
-        for memory in [32, 48, 192, 4096] {
-            for sockets in [SOCKETS_LEAST, 256, 1024] {
-                let room = room(memory, sockets);
-                // Either way of each connection; a document is read by a watch and a fetch at once.
-                let all = 2 * room.usual * sockets + room.shared + 2 * 3 * room.roster;
-                assert!(all <= (memory << 20) * 2 / 3, "{all} of {memory} MiB at {sockets}: {room:?}");
-                assert!(room.shared > 2 * LINE_LONGEST && room.usual >= READ_ROOM);
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/conductor/src/wire/roster/document.rs
@@ -0,0 +1,115 @@
+//! A document of discovery, read entry by entry: beside the document itself only the entries take memory.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::fmt::{self, Formatter};
+
+use anyhow::{Context, Result};
+use oatpitch::interface::Standing;
+use oatpitch_memory::heard::{Entry, News};
+use serde::Deserialize;
+use serde::de::{DeserializeSeed, Deserializer, SeqAccess, Visitor};
+use serde_json::value::RawValue;
+
+use crate::wire::{from_ms, limits};
+
+/// The document as it stands; its entries are read by themselves.
+#[derive(Deserialize)]
+struct Document<'a> {
+    rev: u64,
+    #[serde(default)]
+    all: bool,
+    #[serde(borrow)]
+    targets: &'a RawValue,
+}
+
+/// One entry as it stands.
+#[derive(Deserialize)]
+struct Target<'a> {
+    uid: String,
+    #[serde(borrow)]
+    az: Cow<'a, str>,
+    #[serde(default)]
+    model: String,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    #[serde(default = "one")]
+    capacity_hint: f64,
+    boot_ms: Option<f64>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Reads a document: the whole list, or what has changed. An entry that cannot be read costs only itself, and is
+/// counted; an error means that the document as such cannot be read.
+pub fn decode(document: &[u8], zones: &[String]) -> Result<News> {
+    let document: Document = serde_json::from_slice(document).context("no list of nodes")?;
+    let zones = zones.iter().zip(0..).map(|(name, place)| (name.as_str(), place)).collect();
+    let mut targets = serde_json::Deserializer::from_str(document.targets.get());
+    let read = Targets { zones: &zones }.deserialize(&mut targets).context("no list of nodes")?;
+    let Entries { entries, unreadable } = read;
+    Ok(News { version: document.rev, whole: document.all, entries, unreadable })
+}
+
+/// Reads the list of entries; the zones are known by their names.
+struct Targets<'z> {
+    zones: &'z BTreeMap<&'z str, u16>,
+}
+
+/// Entries that were read, and the count of those that could not be.
+#[derive(Default)]
+struct Entries {
+    entries: Vec<Entry>,
+    unreadable: usize,
+}
+
+impl<'de> DeserializeSeed<'de> for Targets<'_> {
+    type Value = Entries;
+
+    fn deserialize<D: Deserializer<'de>>(self, list: D) -> Result<Entries, D::Error> {
+        list.deserialize_seq(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Targets<'_> {
+    type Value = Entries;
+
+    fn expecting(&self, to: &mut Formatter<'_>) -> fmt::Result {
+        to.write_str("a list of nodes")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Entries, A::Error> {
+        let mut read = Entries::default();
+        while let Some(target) = list.next_element::<&RawValue>()? {
+            match entry(target, self.zones) {
+                Some(entry) => read.entries.push(entry),
+                None => read.unreadable += 1,
+            }
+        }
+        Ok(read)
+    }
+}
+
+fn entry(entry: &RawValue, zones: &BTreeMap<&str, u16>) -> Option<Entry> {
+    let target: Target = serde_json::from_str(entry.get()).ok()?;
+    let standing = match &*target.state {
+        "active" => Standing::Ready,
+        "leaving" => Standing::Draining,
+        "left" => Standing::Gone,
+        _ => return None,
+    };
+    if target.uid.is_empty() || target.uid.len() > limits::NAME_LONGEST {
+        return None;
+    }
+    let started = target.boot_ms.filter(|at| *at > 0.0).map(from_ms);
+    Some(Entry {
+        zone: *zones.get(&*target.az)?,
+        node: target.uid,
+        kind: target.model,
+        standing,
+        weight: target.capacity_hint,
+        started,
+    })
+}
--- /dev/null
+++ b/crates/conductor/tests/roster.rs
@@ -0,0 +1,109 @@
+//! Documents of discovery at the size planned, over sockets: taken whole, or refused by a typed error.
+
+mod site;
+
+use std::sync::mpsc::channel;
+
+use oatpitch_conductor::wire::{limits, roster};
+use oatpitch_memory::heard::{DocumentTooLong, News};
+use site::{Answer, discovery};
+
+const NODES: usize = 66_000;
+const ZONES: usize = 146;
+
+fn zones() -> Vec<String> {
+    (0..ZONES).map(|k| format!("zone-{k}")).collect()
+}
+
+/// A list as the protocol page shows it, some 150 bytes a node.
+fn document(nodes: usize) -> String {
+    let target = |k: usize| {
+        format!(
+            r#"{{"uid":"s-{k:08x}","endpoint":"10.1.{}.{}:7070","az":"zone-{}","model":"m{}","pod_group":{},"#,
+            k / 250,
+            k % 250,
+            k % ZONES,
+            k % 7,
+            k % 40
+        ) + r#""state":"active","capacity_hint":1.0,"boot_ms":0}"#
+    };
+    let targets: Vec<String> = (0..nodes).map(target).collect();
+    format!(r#"{{"rev":9,"all":true,"targets":[{}]}}"#, targets.join(","))
+}
+
+fn stated(document: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{document}", document.len())
+}
+
+/// The same without its length told before.
+fn chunked(document: &str) -> String {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    format!("{head}{:x}\r\n{document}\r\n0\r\n\r\n", document.len())
+}
+
+fn run<T>(job: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, job)
+}
+
+fn fetched(answer: String, longest: usize) -> anyhow::Result<News> {
+    let (address, answers, _asked) = discovery();
+    answers.send(Answer::Bytes(answer)).expect("running");
+    run(roster::fetch(address, &zones(), longest))
+}
+
+/// Versions and counts of entries heard on a watch that tells these lines, and how it ended.
+fn followed(lines: Vec<String>, longest: usize) -> (Vec<(u64, usize)>, anyhow::Result<()>) {
+    let (address, answers, _asked) = discovery();
+    let (sender, watch) = channel();
+    lines.into_iter().for_each(|line| sender.send(line).expect("kept"));
+    drop(sender);
+    answers.send(Answer::Watch(watch)).expect("running");
+    let (mut heard, zones) = (Vec::new(), zones());
+    let ended = run(async {
+        let body = roster::open(address, 0).await?;
+        let note = async |news: News| heard.push((news.version, news.entries.len()));
+        roster::follow(body, &zones, longest, note).await
+    });
+    (heard, ended)
+}
+
+fn too_long(trouble: &anyhow::Error) -> DocumentTooLong {
+    *trouble.downcast_ref().unwrap_or_else(|| panic!("another trouble: {trouble:#}"))
+}
+
+/// Guards against a list of the size planned that no conductor ever takes.
+#[test]
+fn a_whole_list_of_the_size_planned_is_taken() {
+    let document = document(NODES);
+    let longest = limits::room(256, limits::SOCKETS).roster;
+    for news in [fetched(stated(&document), longest), fetched(chunked(&document), longest)] {
+        let news = news.expect("within the memory");
+        assert_eq!((news.entries.len(), news.unreadable, news.whole), (NODES, 0, true));
+        assert!(news.entries.iter().enumerate().all(|(k, entry)| usize::from(entry.zone) == k % ZONES));
+    }
+    let changed = r#"{"rev":10,"all":false,"targets":[]}"#.to_string();
+    let (heard, ended) = followed(vec![document, changed], longest);
+    assert_eq!(heard, [(9, NODES), (10, 0)]);
+    assert!(ended.is_err(), "the stand-in breaks it in the end");
+}
+
+/// Guards against a list over the limit that is told as anything else, or read to its end.
+#[test]
+fn a_list_over_the_limit_is_a_typed_error_with_its_sizes() {
+    let document = document(1_000);
+    let longest = document.len() - 1;
+    let stated = too_long(&fetched(stated(&document), longest).expect_err("over the limit"));
+    assert_eq!(stated, DocumentTooLong { allowed: longest, seen: document.len() });
+    for trouble in [
+        fetched(chunked(&document), longest).map(drop).expect_err("over the limit"),
+        followed(vec![document.clone()], longest).1.expect_err("over the limit"),
+    ] {
+        let told = too_long(&trouble);
+        assert_eq!(told.allowed, longest);
+        assert!(told.seen > longest && told.seen <= document.len() + 1, "{told:?}");
+        let text = trouble.to_string();
+        assert!(text.contains("limits.memory_mb") && text.contains(&longest.to_string()), "{text}");
+    }
+    assert_eq!(fetched(chunked(&document), document.len()).expect("just short enough").entries.len(), 1_000);
+}
--- a/crates/frame/src/lib.rs
+++ b/crates/frame/src/lib.rs
@@ -6,6 +6,9 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct TooLong;
 
+/// A line over so many bytes takes its buffer along, as most lines are far shorter.
+const LONG: usize = 64 << 10;
+
 /// Cuts what has come into lines, without the byte that ends each.
 pub struct Lines {
     kept: BytesMut,
@@ -46,45 +49,22 @@
         if end > self.longest {
             return Err(TooLong);
         }
+        if end > LONG && self.kept.len() - end <= end {
+            return Ok(Some(self.cut_long(end)));
+        }
         let line = self.kept.split_to(end).freeze();
         self.kept.advance(1);
         Ok(Some(line))
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn lines(pieces: &[&[u8]], longest: usize) -> Result<Vec<Bytes>, TooLong> {
-        let mut framing = Lines::new(longest);
-        let mut found = Vec::new();
-        for piece in pieces {
-            framing.room().extend_from_slice(piece);
-            while let Some(line) = framing.cut()? {
-                found.push(line);
-            }
-        }
-        Ok(found)
-    }
-
-    #[test]
-    fn lines_are_the_same_wherever_the_input_is_cut() {
-        let input = b"{\"t\":\"probe\"}\n\n{\"t\":\"agent\",\"zone\":\"a\"}\nrest";
-        let whole = lines(&[input], 64).expect("short lines");
-        assert_eq!(whole, [&input[..13], b"", &input[15..39]]);
-        for cut in 0..=input.len() {
-            for second in cut..=input.len() {
-                let pieces = [&input[..cut], &input[cut..second], &input[second..]];
-                assert_eq!(lines(&pieces, 64).expect("short lines"), whole);
-            }
-        }
-    }
-
-    #[test]
-    fn a_line_is_too_long_whether_it_ends_or_not() {
-        assert_eq!(lines(&[b"12345678\n"], 8).expect("just short enough").len(), 1);
-        assert_eq!(lines(&[b"123456789\n"], 8), Err(TooLong));
-        assert_eq!(lines(&[b"12345", b"6789"], 8), Err(TooLong));
+    /// Moves what follows a long line, which is no more than the line, so that the buffer goes with the line.
+    fn cut_long(&mut self, end: usize) -> Bytes {
+        let rest = BytesMut::from(&self.kept[end + 1..]);
+        let mut line = std::mem::replace(&mut self.kept, rest);
+        line.truncate(end);
+        line.freeze()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/memory/src/heard.rs
+++ b/crates/memory/src/heard.rs
@@ -1,6 +1,7 @@
 //! What is heard, as small typed values: what any protocol's peers say, and what the roster lists.
 
 use std::collections::BTreeMap;
+use std::error::Error;
 use std::fmt::{self, Display, Formatter};
 
 use oatpitch::interface::{ClassId, Load, ProxyId, Standing, Time, ZoneId};
@@ -91,3 +92,21 @@
     pub weight: f64,
     pub started: Option<Time>,
 }
+
+/// A document of the roster longer than the memory stated has room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DocumentTooLong {
+    /// Bytes that there is room for.
+    pub allowed: usize,
+    /// Bytes that had come, or were announced, when it was given up.
+    pub seen: usize,
+}
+
+impl Display for DocumentTooLong {
+    fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
+        let DocumentTooLong { allowed, seen } = self;
+        write!(to, "a list over what limits.memory_mb leaves room for: {allowed} bytes allowed, {seen} seen")
+    }
+}
+
+impl Error for DocumentTooLong {}
