A list over the memory stated is refused loudly, and alive waits for a list

A document of discovery over the limit was asked for again once a second for ever, with a line in the log each time, while alive was answered by a conductor that held nothing. Now it is an input of its own, by the typed error: counted (lists too long), logged once until a list fits, with the key, the bytes allowed and seen; the list held stays in force; asked for again after waits doubled from 1 to 60 s, cut by chance to as little as half, also where the module asks and where a fetch goes on beside a watch that stands. Changes told by that watch do not shorten them.

A probe that comes while no list is held (none known, none taken, or none of whose entries could be read) is answered once one has been taken.

Tests: crates/memory/src/tests/too_long.rs drives the reducer; crates/conductor/tests/roster.rs a conductor of 16 MiB before a list over 1 MiB.

--- a/crates/conductor/src/run/effects.rs
+++ b/crates/conductor/src/run/effects.rs
@@ -8,6 +8,7 @@
 use oatpitch::interface::Time;
 use oatpitch_channel::net::server::Server;
 use oatpitch_memory::counters::Counters;
+use oatpitch_memory::heard::DocumentTooLong;
 use oatpitch_memory::message::Message;
 use oatpitch_memory::{ConnId, Effect, Ending, Grade, Input};
 use slog::{Logger, error, info, warn};
@@ -127,9 +128,11 @@
                 let pass_on = async |news| _ = inbox.send(Input::News(number, news)).await;
                 roster::follow(body, &terms.zones, longest, pass_on).await
             };
-            let ended = ended.await;
-            let cause = ended.map_or_else(|trouble| format!("{trouble:#}"), |()| "the watch ended".into());
-            let _ = inbox.send(Input::NewsEnded(number, cause)).await;
+            let ended = match ended.await {
+                Ok(()) => Input::NewsEnded(number, "the watch ended".into()),
+                Err(trouble) => failed(number, trouble),
+            };
+            let _ = inbox.send(ended).await;
         };
         self.asked.insert(number, spawn_local(task).abort_handle());
     }
@@ -140,7 +143,7 @@
         let task = async move {
             let heard = match roster::fetch(address, &terms.zones, longest).await {
                 Ok(news) => Input::News(number, news),
-                Err(trouble) => Input::NewsEnded(number, format!("{trouble:#}")),
+                Err(trouble) => failed(number, trouble),
             };
             let _ = inbox.send(heard).await;
         };
@@ -158,3 +161,11 @@
         }
     }
 }
+
+/// What is to be told of a watch, or a fetch, that failed.
+fn failed(number: u64, trouble: anyhow::Error) -> Input {
+    match trouble.downcast::<DocumentTooLong>() {
+        Ok(list) => Input::ListTooLong(number, list),
+        Err(trouble) => Input::NewsEnded(number, format!("{trouble:#}")),
+    }
+}
--- a/crates/conductor/tests/roster.rs
+++ b/crates/conductor/tests/roster.rs
@@ -3,10 +3,12 @@
 mod site;
 
 use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
 
 use oatpitch_conductor::wire::{limits, roster};
 use oatpitch_memory::heard::{DocumentTooLong, News};
-use site::{Answer, discovery};
+use serde_json::{Value, json};
+use site::{Answer, Conductor, Party, discovery, list, target};
 
 const NODES: usize = 66_000;
 const ZONES: usize = 146;
@@ -107,3 +109,68 @@
     }
     assert_eq!(fetched(chunked(&document), document.len()).expect("just short enough").entries.len(), 1_000);
 }
+
+/// Whether a sign of life comes within a while.
+fn alive_within(party: &mut Party, most: Duration) -> bool {
+    party.reader.get_ref().set_read_timeout(Some(most)).expect("a time-out");
+    party.say(json!({"t": "probe"}));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut party.reader, &mut line).is_ok_and(|length| length > 0)
+}
+
+/// Guards against a conductor that holds no list, and cannot take the one that there is, but says that it is well;
+/// and against one that asks for it again and again, with a line in the log each time.
+#[test]
+fn a_list_over_the_memory_stated_is_refused_loudly() {
+    let (address, answers, paths) = discovery();
+    let too_long = document(9_000);
+    assert!(too_long.len() > limits::room(16, 1024).roster);
+    let mut watches = Vec::new();
+    let mut watch = |first: String| {
+        let (sender, lines) = channel();
+        sender.send(first).expect("kept");
+        answers.send(Answer::Watch(lines)).expect("running");
+        watches.push(sender);
+    };
+    (0..3).for_each(|_| watch(too_long.clone()));
+    watch(list(3, true, &[target("s-1", "active")]));
+    let mut config = site::config(address);
+    config["known"] = Value::Null;
+    config["limits"]["memory_mb"] = json!(16);
+    let conductor = Conductor::start("too-long", &config);
+    let start = Instant::now();
+    let asked = || paths.recv_timeout(site::LONGEST).expect("asked for again");
+    asked();
+    assert!(!alive_within(&mut conductor.dial(), Duration::from_millis(300)), "it holds nothing");
+    for _ in 0..3 {
+        assert_eq!(asked(), "/catalog/members?follow=1&since=0");
+    }
+    // Half of one, two and four seconds at the least.
+    assert!(start.elapsed() > Duration::from_millis(3_400), "{:?}", start.elapsed());
+    conductor.dial().probe();
+    let mut proxy = conductor.dial();
+    proxy.hello(1);
+    assert_eq!(site::names(&proxy.hear_until(site::whole)), ["s-1"]);
+    let log = conductor.stop();
+    assert_eq!(log.matches("limits.memory_mb").count(), 1, "{log}");
+    assert!(log.contains("lists too long=3") && log.contains("probes before a list="), "{log}");
+}
+
+/// Guards against a list too long that takes the one known with it.
+#[test]
+fn the_list_known_stays_in_force_under_one_too_long() {
+    let (address, answers, paths) = discovery();
+    let (sender, lines) = channel();
+    sender.send(document(9_000)).expect("kept");
+    answers.send(Answer::Watch(lines)).expect("running");
+    let mut config = site::config(address);
+    config["limits"]["memory_mb"] = json!(16);
+    let mut conductor = Conductor::start("known-stays", &config);
+    paths.recv_timeout(site::LONGEST).expect("a watch");
+    conductor.told("limits.memory_mb leaves room for: 1048576 bytes allowed");
+    conductor.dial().probe();
+    let mut proxy = conductor.dial();
+    proxy.hello(1);
+    assert_eq!(site::names(&proxy.hear_until(site::whole)), ["s-1", "s-2"]);
+    conductor.stop();
+}
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -17,7 +17,7 @@
 
 use oatpitch::interface::{Advice, Time};
 
-use heard::{News, Said, Unusable};
+use heard::{DocumentTooLong, News, Said, Unusable};
 use message::Message;
 
 /// What must hold: asserted in debug builds, counted in release builds.
@@ -72,6 +72,8 @@
     Watching(u64),
     /// News of the watch, or the list of the fetch, of this number.
     News(u64, News),
+    /// The watch, or the fetch, of this number brought a list that there is no room for, and has ended.
+    ListTooLong(u64, DocumentTooLong),
     /// The watch, or the fetch, of this number has ended.
     NewsEnded(u64, String),
     /// A datagram of a peer, by its place in the list; none if it is nobody's, or too long.
--- a/crates/memory/src/limits.rs
+++ b/crates/memory/src/limits.rs
@@ -23,6 +23,11 @@
 /// costs little, and a drain is not heard meanwhile.
 pub const RECONNECT_FIRST: Time = Time::from_ms(100);
 pub const RECONNECT_DOUBLINGS: u32 = 3;
+/// Waits before a list that was too long is asked for again, doubled from the first to the last: it takes megabytes,
+/// and fits only once discovery lists less.
+pub const TOO_LONG_FIRST: Time = Time::from_ms(1_000);
+pub const TOO_LONG_LAST: Time = Time::from_ms(60_000);
+pub const TOO_LONG_DOUBLINGS: u32 = 6;
 /// A fetch that has neither come nor failed by then is asked for again.
 pub const FETCH_LONGEST: Time = Time::from_ms(10_000);
 /// Whatever discovery has to tell counts as told by then, as the protocol has it: what it still says of an older
--- a/crates/memory/src/reducer/connections.rs
+++ b/crates/memory/src/reducer/connections.rs
@@ -6,7 +6,7 @@
 use oatpitch::interface::*;
 
 use super::Memory;
-use crate::heard::Said;
+use crate::heard::{News, Said};
 use crate::{ConnId, Effect, Ending, limits, must};
 
 /// Who is at the other end of a connection, as far as it has said.
@@ -73,10 +73,7 @@
             return self.counters.add("messages of ended connections", 1);
         };
         match (said, party) {
-            (Said::Probe, _) => {
-                self.counters.add("probes answered", 1);
-                self.effects.push(Effect::Alive(conn));
-            }
+            (Said::Probe, _) => self.probed(conn),
             (Said::Collector { .. }, Party::Stranger | Party::Collector) => {
                 self.counters.add("collectors", 1);
                 self.name(conn, Party::Collector);
@@ -106,6 +103,28 @@
         }
     }
 
+    /// Whoever is told that the conductor is alive uses it, so one that holds no list says so only once it does.
+    fn probed(&mut self, conn: ConnId) {
+        if self.listed {
+            self.counters.add("probes answered", 1);
+            self.effects.push(Effect::Alive(conn));
+        } else {
+            self.counters.add("probes before a list", 1);
+            self.probes.insert(conn);
+        }
+    }
+
+    /// A list is held from now on, unless nothing in it could be read.
+    pub(super) fn list_taken(&mut self, news: &News) {
+        if news.entries.is_empty() && news.unreadable > 0 {
+            return;
+        }
+        self.listed = true;
+        for conn in std::mem::take(&mut self.probes) {
+            self.probed(conn);
+        }
+    }
+
     /// Makes a connection the only one of its proxy: one held before it is over. False if it is the older.
     fn claim_stream(&mut self, conn: ConnId, proxy: ProxyId) -> bool {
         let held = self.ordered.streams.get(&proxy).map(|stream| stream.conn);
@@ -205,6 +224,7 @@
 
     fn drop_conn(&mut self, conn: ConnId) {
         self.strangers.remove(&conn);
+        self.probes.remove(&conn);
         self.dismissed.remove(&conn);
         self.effects.push(Effect::End(conn));
         if let Some((Party::Proxy(proxy), _)) = self.conns.remove(&conn) {
--- a/crates/memory/src/reducer/discovery/mod.rs
+++ b/crates/memory/src/reducer/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! The list of nodes: what is asked of discovery, and when it is asked again. What it answers is handled in
-//! [`updates`].
+//! [`updates`], and lists that there is no room for in [`too_long`].
 
+mod too_long;
 mod updates;
 
 use std::net::SocketAddr;
@@ -37,6 +38,9 @@
     doubted: Option<Time>,
     failures: u32,
     again: Option<Time>,
+    /// Lists in a row that were too long, and until when none is asked for after the last of them.
+    too_long: u32,
+    held_off: Option<Time>,
 }
 
 impl Watch {
@@ -77,6 +81,7 @@
         // A list that the address left may still send would come after newer ones.
         self.let_go(|watch| &mut watch.fetch);
         (self.watch.failures, self.watch.again) = (0, None);
+        self.watch.list_fits();
     }
 
     fn let_go(&mut self, which: impl Fn(&mut Watch) -> &mut Option<Ask>) {
@@ -113,18 +118,23 @@
 
     /// The watch is over, or the whole list did not come: tried again after a while.
     fn end_watch(&mut self, cause: &str) {
-        self.counters.add("watches ended", 1);
         self.complain(format!("discovery: {cause}"));
-        self.let_go(|watch| &mut watch.open);
         let wait = limits::RECONNECT_FIRST.0 << self.watch.failures.min(limits::RECONNECT_DOUBLINGS);
         self.watch.failures = self.watch.failures.saturating_add(1);
         let wait = Time((wait as f64 * (0.5 + self.chance.f64())) as u64);
+        self.reopen_at(self.now + wait);
+    }
+
+    /// Ends the watch, to be opened again then.
+    fn reopen_at(&mut self, at: Time) {
+        self.counters.add("watches ended", 1);
+        self.let_go(|watch| &mut watch.open);
         if self.asked {
             // The module's own business, by its own waits.
             self.watch.wanted = false;
             self.balance.roster_failed(self.now);
         } else {
-            self.watch.again = Some(self.now + wait);
+            self.watch.again = Some(at);
         }
     }
 
@@ -135,9 +145,13 @@
                 self.let_go(|watch| &mut watch.open);
                 self.let_go(|watch| &mut watch.former);
             }
-            (self.watch.wanted, self.watch.again) = (on, None);
+            let held_off = self.watch.held_off.filter(|until| on && self.now < *until);
+            (self.watch.wanted, self.watch.again) = (on, held_off);
+        }
+        if std::mem::take(&mut self.ordered.fetched) {
+            self.watch.doubted = Some(self.watch.held_off.map_or(self.now, |until| until.max(self.now)));
         }
-        if std::mem::take(&mut self.ordered.fetched) || self.watch.doubted.is_some_and(|at| at <= self.now) {
+        if self.watch.doubted.is_some_and(|at| at <= self.now) {
             self.watch.doubted = None;
             self.fetch();
         }
--- /dev/null
+++ b/crates/memory/src/reducer/discovery/too_long.rs
@@ -0,0 +1,54 @@
+//! Lists longer than there is room for. The list held stays in force; the same megabytes are asked for again only
+//! after waits that grow, and it is logged once until a list fits.
+
+use oatpitch::interface::Time;
+
+use super::{Memory, Watch, take};
+use crate::heard::DocumentTooLong;
+use crate::{Effect, limits};
+
+impl Watch {
+    /// What was too long is over: a list fits, or comes from elsewhere.
+    pub(super) fn list_fits(&mut self) {
+        (self.too_long, self.held_off) = (0, None);
+    }
+}
+
+impl Memory {
+    /// The watch, or the fetch, of this number brought a list that is too long.
+    pub(in crate::reducer) fn list_too_long(&mut self, number: u64, list: DocumentTooLong) {
+        let former = take(&mut self.watch.former, number).is_some();
+        let fetch = take(&mut self.watch.fetch, number).is_some();
+        let open = self.watch.open.is_some_and(|open| open.number == number);
+        if !(former || fetch || open) {
+            return;
+        }
+        self.counters.add("lists too long", 1);
+        if self.watch.too_long == 0 {
+            self.complain(format!("discovery: {list}; the list held stays in force"));
+        }
+        if former || fetch {
+            self.effects.push(Effect::Unwatch(number));
+        }
+        if former {
+            // What discovery tells at its new address counts.
+            return self.counters.add("watches ended", 1);
+        }
+        let until = self.now + self.next_wait();
+        self.watch.held_off = Some(until);
+        if open || self.watch.gap {
+            self.reopen_at(until);
+        } else {
+            // The watch stands, and goes on.
+            self.watch.doubted = Some(until.max(self.now + limits::TOLD_LATEST));
+        }
+    }
+
+    /// Doubled each time up to the longest, and cut by chance to as little as half.
+    fn next_wait(&mut self) -> Time {
+        let doublings = self.watch.too_long.min(limits::TOO_LONG_DOUBLINGS);
+        self.watch.too_long = self.watch.too_long.saturating_add(1);
+        let wait = (limits::TOO_LONG_FIRST.0 << doublings).min(limits::TOO_LONG_LAST.0);
+        Time((wait as f64 * (0.5 + self.chance.f64() / 2.0)) as u64)
+    }
+}
--- a/crates/memory/src/reducer/discovery/updates.rs
+++ b/crates/memory/src/reducer/discovery/updates.rs
@@ -80,6 +80,11 @@
     fn take_news(&mut self, news: News) {
         self.counters.add(if news.whole { "whole lists" } else { "changes of the list" }, 1);
         (self.watch.version, self.watch.failures) = (news.version, 0);
+        // Changes of a watch that stands say nothing of a whole list that is asked for beside it.
+        if news.whole || self.watch.doubted.is_none() && self.watch.fetch.is_none() {
+            self.watch.list_fits();
+        }
+        self.list_taken(&news);
         let listings = self.listings(&news.entries);
         // With an entry missing, what is not named is not known to be gone.
         if news.whole && news.unreadable == 0 {
@@ -98,6 +103,8 @@
         self.counters.add("older lists", 1);
         self.complain(format!("discovery: version {} after {}", news.version, self.watch.version));
         (self.watch.version, self.watch.failures) = (news.version, 0);
+        self.watch.list_fits();
+        self.list_taken(&news);
         let (look, _) = self.look();
         let shut: BTreeSet<NodeId> =
             look.nodes.iter().filter(|node| !node.open).map(|node| node.node).collect();
--- a/crates/memory/src/reducer/mod.rs
+++ b/crates/memory/src/reducer/mod.rs
@@ -49,6 +49,9 @@
     watch: Watch,
     /// The version of the list that the tables, withdrawals and marks ordered so far stand for in full.
     settled: u64,
+    /// A list is held, be it an earlier life's; and who asked for a sign of life before.
+    listed: bool,
+    probes: BTreeSet<ConnId>,
     discovery: SocketAddr,
     chance: fastrand::Rng,
     now: Time,
@@ -78,6 +81,8 @@
             asked,
             watch: Watch::new(!asked, start.known.version),
             settled: 0,
+            listed: false,
+            probes: BTreeSet::new(),
             discovery: start.discovery,
             chance: fastrand::Rng::with_seed(start.seed),
             now,
@@ -85,6 +90,9 @@
             counters: Counters::default(),
             effects: Vec::new(),
         };
+        if start.known != News::default() {
+            memory.list_taken(&start.known);
+        }
         let known = memory.listings(&start.known.entries);
         memory.balance.roster_whole(now, &known, true, &mut memory.ordered);
         memory.balance.rang(now, &mut memory.ordered);
@@ -122,6 +130,7 @@
             Input::Noted(lines) => lines.into_iter().for_each(|line| self.complain(line)),
             Input::Watching(number) => self.watching(number),
             Input::News(number, news) => self.news(number, news),
+            Input::ListTooLong(number, list) => self.list_too_long(number, list),
             Input::NewsEnded(number, cause) => self.news_ended(number, &cause),
             Input::Peer(from) => {
                 let name = if from.is_some() { "datagrams of peers" } else { "datagrams dropped" };
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -1,6 +1,8 @@
 //! What is kept in memory, driven without sockets: generated orders against a plain proxy, generated inputs
 //! against the reducer, and what each kind of bad input must cost.
 
+mod too_long;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,12 +11,12 @@
 use quickcheck::{Gen, QuickCheck};
 
 use super::counters::Counters;
-use super::heard::{Entry, News, Said, Unusable};
+use super::heard::{DocumentTooLong, Entry, News, Said, Unusable};
 use super::message::{Message, Part};
 use super::names::Names;
 use super::ordered::Ordered;
 use super::reducer::{Memory, Start};
-use super::{ConnId, Effect, Ending, Input, limits};
+use super::{ConnId, Effect, Ending, Grade, Input, limits};
 
 const CLASSES: [&str; 2] = ["quote", "advance"];
 const PROXIES: u16 = 4;
@@ -281,11 +283,15 @@
 
 impl Desk {
     fn new(asked: bool) -> Desk {
+        Desk::knowing(asked, list(5, true, &[0, 1, 2]))
+    }
+
+    fn knowing(asked: bool, known: News) -> Desk {
         let start = Start {
             mandate: mandate(asked),
             classes: CLASSES.len() as u16,
             seed: 7,
-            known: list(5, true, &[0, 1, 2]),
+            known,
             discovery: address(1),
             places: 8,
         };
@@ -901,6 +907,7 @@
                 let entries = vec![entry(which % 8, standing)];
                 Input::News(number, News { entries, ..list(100 + u64::from(which), false, &[]) })
             }
+            13 if how % 3 == 0 => Input::ListTooLong(number, DocumentTooLong { allowed: 1, seen: 2 }),
             13 => Input::NewsEnded(number, "cause".into()),
             14 if how % 2 == 0 => Input::Peer(None),
             14 if how % 3 == 0 => Input::Renewed(Ok((address(which.into()), vec![]))),
--- /dev/null
+++ b/crates/memory/src/tests/too_long.rs
@@ -0,0 +1,118 @@
+//! Lists that there is no room for, and what a conductor without any list answers.
+
+use super::*;
+
+const TOO_LONG: DocumentTooLong = DocumentTooLong { allowed: 1_000, seen: 1_001 };
+
+impl Desk {
+    /// Complaints logged so far that hold this.
+    fn complaints(&self, what: &str) -> usize {
+        let holds =
+            |effect: &&Effect| matches!(effect, Effect::Log(Grade::Warning, text) if text.contains(what));
+        self.effects.iter().filter(holds).count()
+    }
+
+    /// Lets time pass until a watch is opened again, and gives the wait in ms.
+    fn wait_for_watch(&mut self) -> u64 {
+        let (ended, before) = (self.now, self.watches().len());
+        while self.watches().len() == before {
+            self.turn(10, []);
+            assert!(self.now - ended < Time::from_ms(120_000), "it is never opened again");
+        }
+        (self.now - ended).0 / 10
+    }
+}
+
+/// Guards against the same megabytes asked for once a second for ever, and as many lines in the log.
+#[test]
+fn a_list_too_long_is_asked_for_with_growing_waits_and_logged_once() {
+    let mut desk = Desk::new(false);
+    desk.open(1, [hello(0)]);
+    desk.pass(500);
+    let mut waits = Vec::new();
+    for number in 1..=9 {
+        desk.turn(1, [Input::ListTooLong(number, TOO_LONG)]);
+        waits.push(desk.wait_for_watch());
+    }
+    assert!((500..=1_100).contains(&waits[0]), "{waits:?}");
+    assert!(waits[6..].iter().all(|wait| (29_000..=61_000).contains(wait)), "{waits:?}");
+    let sums = [waits[..3].iter().sum::<u64>(), waits[3..6].iter().sum()];
+    assert!(sums[1] > 3 * sums[0], "{waits:?}");
+    assert_eq!((desk.counted("lists too long"), desk.counted("watches ended")), (9, 9));
+    let told = "limits.memory_mb leaves room for: 1000 bytes allowed, 1001 seen";
+    assert_eq!(desk.complaints(told), 1);
+    // The list known stays in force.
+    assert_eq!(desk.held(1).tables["quote"].len(), 3);
+    // Once a list fits, the next that does not begins anew.
+    desk.turn(1, [Input::News(10, list(6, true, &[0, 1]))]);
+    desk.turn(1, [Input::ListTooLong(10, TOO_LONG)]);
+    assert!(desk.wait_for_watch() <= 1_100);
+    assert_eq!(desk.complaints(told), 2);
+    // One from a watch that was ended counts for nothing.
+    desk.turn(1, [Input::ListTooLong(10, TOO_LONG)]);
+    assert_eq!(desk.counted("lists too long"), 10);
+}
+
+/// Guards against a fetch of the whole list, beside a watch that stands, that comes back every 6 s.
+#[test]
+fn a_fetched_list_too_long_waits_longer_each_time() {
+    let mut desk = Desk::new(false);
+    // An older list than the one held: the whole one is asked for.
+    desk.turn(1, [Input::News(1, list(4, true, &[0, 1, 2]))]);
+    let mut waits = Vec::new();
+    for k in 0..8 {
+        let since = desk.now;
+        while desk.fetches().len() == k {
+            desk.turn(50, []);
+            assert!(desk.now - since < Time::from_ms(120_000), "it is never fetched again");
+        }
+        waits.push((desk.now - since).0 / 10_000);
+        let number = *desk.fetches().last().expect("asked for");
+        // Changes that the watch tells meanwhile do not make it shorter.
+        desk.turn(1, [Input::News(1, list(5 + k as u64, false, &[3]))]);
+        desk.turn(1, [Input::ListTooLong(number, TOO_LONG)]);
+    }
+    assert!(waits[1] <= 7 && waits[7] >= 29, "{waits:?}");
+    assert_eq!((desk.complaints("1001 seen"), desk.watches().len()), (1, 1));
+}
+
+/// Where the module asks, its own waits are the shorter ones.
+#[test]
+fn an_asked_roster_that_is_too_long_is_held_off_too() {
+    let mut desk = Desk::new(true);
+    let mut waits = Vec::new();
+    for number in 1..=8 {
+        desk.turn(1, [Input::ListTooLong(number, TOO_LONG)]);
+        waits.push(desk.wait_for_watch());
+    }
+    assert!(waits[0] <= 5_000 && waits[7] >= 29_000, "{waits:?}");
+}
+
+/// Guards against a conductor that serves nobody and says that it is well.
+#[test]
+fn without_a_list_no_sign_of_life_is_given_until_there_is_one() {
+    let mut desk = Desk::knowing(false, News::default());
+    desk.open(1, [Said::Probe, Said::Probe]);
+    desk.open(2, [Said::Probe]);
+    desk.turn(1, [Input::ListTooLong(1, TOO_LONG)]);
+    desk.turn(1, [Input::Ended(ConnId(2), Ending::Closed)]);
+    assert_eq!((desk.alive.len(), desk.counted("probes before a list")), (0, 3));
+    desk.wait_for_watch();
+    desk.open(3, [Said::Probe]);
+    // None of its entries could be read.
+    desk.turn(1, [Input::News(2, News { unreadable: 3, ..list(6, true, &[]) })]);
+    assert!(desk.alive.is_empty());
+    desk.turn(1, [Input::News(2, list(7, true, &[0]))]);
+    let all = [1, 3].map(|conn| (ConnId(conn), 1));
+    assert_eq!(desk.alive, BTreeMap::from(all), "who waits still, once each");
+    desk.say(3, Said::Probe);
+    assert_eq!(desk.alive[&ConnId(3)], 2);
+}
+
+/// A list stated is one, though it names nobody.
+#[test]
+fn an_empty_list_that_is_known_is_a_list() {
+    let mut desk = Desk::knowing(false, list(0, true, &[]));
+    desk.open(1, [Said::Probe]);
+    assert_eq!(desk.alive, BTreeMap::from([(ConnId(1), 1)]));
+}
