--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -17,7 +17,7 @@
 
 use oatpitch::interface::{Advice, Time};
 
-use inbound::{MembershipUpdate, PeerMessage, Unusable};
+use inbound::{DocumentTooLong, MembershipUpdate, PeerMessage, Unusable};
 use message::Message;
 
 /// What must hold: asserted in debug builds, counted in release builds.
@@ -70,8 +70,10 @@
     Noted(Vec<String>),
     /// The watch of this number was answered.
     Watching(u64),
-    /// What the watch told, or the list that the fetch asked for, of this number.
+    /// MembershipUpdate of the watch, or the list of the fetch, of this number.
     MembershipUpdate(u64, MembershipUpdate),
+    /// The watch, or the fetch, of this number brought a list that there is no room for, and has ended.
+    ListTooLong(u64, DocumentTooLong),
     /// The watch, or the fetch, of this number has ended.
     DiscoveryRequestEnded(u64, String),
     /// A datagram of a peer, by its place in the list; none if it is nobody's, or too long.
--- a/crates/memory/src/reducer/discovery/updates.rs
+++ b/crates/memory/src/reducer/discovery/updates.rs
@@ -76,10 +76,15 @@
         }
     }
 
-    /// An update no older than what is held.
+    /// MembershipUpdate no older than what is held.
     fn apply_update(&mut self, update: MembershipUpdate) {
         self.counters.add(if update.whole { "whole lists" } else { "changes of the list" }, 1);
         (self.watch.version, self.watch.failures) = (update.version, 0);
+        // Changes of a watch that stands say nothing of a whole list that is asked for beside it.
+        if update.whole || self.watch.doubted.is_none() && self.watch.fetch.is_none() {
+            self.watch.list_fits();
+        }
+        self.list_taken(&update);
         let listings = self.listings(&update.entries);
         // With an entry missing, what is not named is not known to be gone.
         if update.whole && update.unreadable == 0 {
@@ -98,6 +103,8 @@
         self.counters.add("older lists", 1);
         self.complain(format!("discovery: version {} after {}", update.version, self.watch.version));
         (self.watch.version, self.watch.failures) = (update.version, 0);
+        self.watch.list_fits();
+        self.list_taken(&update);
         let (look, _) = self.look();
         let shut: BTreeSet<NodeId> =
             look.nodes.iter().filter(|node| !node.open).map(|node| node.node).collect();
