Tables laid up for a mass joining leave within the grace, and count the nodes they let back

Cause, seen in a plain channel beside the reducer (1,000 proxies join 1,000 nodes first listed, backlog 10 s of the channel): half of the backlog was 5 s of the channel, and each table was reckoned without the nodes that it lets back, so the whole backlog of 10 s was laid up in one turn, and a drain told meanwhile reached proxies after 10.4 s of the 3 s allowed. Lines at fault: `deep` and `bind_waiting` took shares of the backlog whatever the channel sends, `bind_lines` left the restores out. Now flushes and binds lay up no more than the stated channel sends within the grace, less the longest way, and the host tells how many nodes a table may let back.

--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -414,6 +414,10 @@
         self.streams.get_mut(&proxy).into_iter().for_each(|stream| stream.bound = bound.clone());
     }
 
+    fn let_back(&self) -> usize {
+        self.doubtful.len()
+    }
+
     fn withdraw(&mut self, node: NodeId, out: bool) {
         let _ = if out { self.withdrawn.insert(node) } else { self.withdrawn.remove(&node) };
         self.turn.ejections.push(node);
--- /dev/null
+++ b/crates/memory/tests/joining.rs
@@ -0,0 +1,230 @@
+//! A whole fleet joins one conductor of many nodes, and a drain is heard meanwhile: the reducer beside a plain
+//! channel that sends at its pace, in steps of a clock of its own.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use oatpitch::interface::*;
+use oatpitch_memory::inbound::{Entry, MembershipUpdate, PeerMessage};
+use oatpitch_memory::message::Message;
+use oatpitch_memory::reducer::{Memory, Start};
+use oatpitch_memory::{ConnId, Effect, Input};
+
+const STEP: Time = Time::from_ms(10);
+const NODES: usize = 1_000;
+const PROXIES: u64 = 1_000;
+const DRAINED: usize = 20;
+
+fn mandate() -> Mandate {
+    let ms = Time::from_ms;
+    let terms =
+        |repeat| ExchangeTerms { target: ms(1_000), cut_off: ms(4_000), gain: 1.0, repeat, home: false };
+    Mandate {
+        exchanges: vec![terms(Repeat::Safe), terms(Repeat::Never)],
+        zones: 2,
+        roster_asked: false,
+        ask_within: ms(10_000),
+        sums_period: ms(1_000),
+        levels: LevelKind::Share,
+        slices: 0,
+        channel_pace: 200_000.0,
+        message_head: 6.0,
+        backlog: 2_000_000.0,
+        messages_most: 0,
+        messages_span: ms(10_000),
+        way: ms(200),
+        way_longest: ms(600),
+        strikes: 5,
+        crossing_fee: 0.0,
+        proxies: PROXIES as u32,
+        conns_least: 100_000.0,
+        bare: ms(3_000),
+        grace: ms(3_000),
+        cold_share: 0.3,
+        warm_up: ms(12_000),
+        fall_multiple: 3.0,
+    }
+}
+
+/// What waits in the channel: messages in the order in which they entered it.
+struct Queued {
+    lines: f64,
+    to: Vec<ConnId>,
+    message: Rc<Message>,
+    since: Time,
+}
+
+struct Channel {
+    memory: Memory,
+    now: Time,
+    queue: VecDeque<Queued>,
+    waiting: f64,
+    most: f64,
+    /// Answers to marks on their way; nobody answers where proxies are mute.
+    answers: VecDeque<(Time, Input)>,
+    mute: bool,
+    entered: f64,
+    watch: Option<u64>,
+    /// By proxy: nodes that it may send to by what has reached it.
+    bound: BTreeSet<ConnId>,
+    drained: BTreeMap<ConnId, BTreeSet<String>>,
+}
+
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn entry(k: usize, standing: Standing) -> Entry {
+    Entry {
+        node: format!("s-{k}"),
+        zone: (k % 2) as u16,
+        kind: "m".into(),
+        standing,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+impl Channel {
+    fn begin(mute: bool) -> Channel {
+        let now = Time::from_ms(1_000_000);
+        let start = Start {
+            mandate: mandate(),
+            classes: 2,
+            seed: 7,
+            known: MembershipUpdate::default(),
+            discovery: address(),
+            places: 3_000,
+        };
+        let (memory, effects) = Memory::begin(now, start);
+        let mut channel = Channel {
+            memory,
+            now,
+            queue: VecDeque::new(),
+            waiting: 0.0,
+            most: 0.0,
+            answers: VecDeque::new(),
+            mute,
+            entered: 0.0,
+            watch: None,
+            bound: BTreeSet::new(),
+            drained: BTreeMap::new(),
+        };
+        channel.carry_out(effects);
+        channel
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Order(to, message) => {
+                    let lines = to.len() as f64 * (message.cost() as f64 + mandate().message_head);
+                    self.waiting += lines;
+                    self.entered += lines;
+                    self.queue.push_back(Queued { lines, to, message, since: self.now });
+                }
+                Effect::Watch { number, .. } => self.watch = Some(number),
+                _ => {}
+            }
+        }
+        self.most = self.most.max(self.waiting);
+    }
+
+    fn arrive(&mut self, queued: &Queued) {
+        for conn in &queued.to {
+            for part in &queued.message.parts {
+                if part.whole {
+                    self.bound.insert(*conn);
+                    let named: BTreeSet<String> = (0..DRAINED).map(|k| format!("s-{k}")).collect();
+                    let listed: BTreeSet<String> = part
+                        .lines
+                        .iter()
+                        .filter(|line| line.1 > 0.0)
+                        .map(|line| line.0.to_string())
+                        .collect();
+                    self.drained.insert(*conn, named.difference(&listed).cloned().collect());
+                }
+                let out = part.out.iter().map(|name| name.to_string());
+                let gone = part.lines.iter().filter(|line| line.1 == 0.0).map(|line| line.0.to_string());
+                self.drained.entry(*conn).or_default().extend(out.chain(gone));
+                if let Some(mark) = part.mark.filter(|_| !self.mute) {
+                    let took = self.now - queued.since + mandate().way;
+                    let proxy = ProxyId(conn.0 as _);
+                    let said = PeerMessage::Acknowledged { proxy, mark: mark.into(), took };
+                    self.answers.push_back((self.now + mandate().way, Input::Message(*conn, said)));
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, mut inputs: Vec<Input>) {
+        self.now = self.now + STEP;
+        let mut sends = mandate().channel_pace * STEP.seconds();
+        while sends > 0.0 {
+            let Some(front) = self.queue.front_mut() else { break };
+            let sent = front.lines.min(sends);
+            front.lines -= sent;
+            (sends, self.waiting) = (sends - sent, self.waiting - sent);
+            if front.lines <= 0.0 {
+                let whole = self.queue.pop_front();
+                whole.iter().for_each(|queued| self.arrive(queued));
+            }
+        }
+        while let Some((_, answer)) = self.answers.pop_front_if(|(due, _)| *due <= self.now) {
+            inputs.push(answer);
+        }
+        inputs.push(Input::Entered(std::mem::take(&mut self.entered)));
+        inputs.push(Input::TimerFired);
+        let effects = self.memory.turn(self.now, inputs);
+        self.carry_out(effects);
+    }
+
+    fn list(&self, entries: Vec<Entry>, version: u64, whole: bool) -> Input {
+        let number = self.watch.expect("a watch is open");
+        Input::MembershipUpdate(number, MembershipUpdate { version, whole, entries, unreadable: 0 })
+    }
+}
+
+/// Seconds after the drain at which a proxy with a table of this conductor last could send to what drains; and
+/// the most lines that waited.
+fn play(mute: bool, drained_after: u64) -> (f64, f64) {
+    let mut channel = Channel::begin(mute);
+    let whole = channel.list((0..NODES).map(|k| entry(k, Standing::Ready)).collect(), 1, true);
+    channel.step(vec![whole]);
+    let joined = |k: u64| {
+        let (proxy, zone) = (ProxyId(k as _), ZoneId((k % 2) as u16));
+        let (rate, tags) = (20.0, BTreeMap::new());
+        let message = PeerMessage::Joined { proxy, zone, rate, fresh: false, anew: false, tags };
+        [Input::Opened(ConnId(k), address()), Input::Message(ConnId(k), message)]
+    };
+    channel.step((0..PROXIES).flat_map(joined).collect());
+    (0..drained_after).for_each(|_| channel.step(Vec::new()));
+    let drain = channel.list((0..DRAINED).map(|k| entry(k, Standing::Draining)).collect(), 2, false);
+    let (told, mut last) = (channel.now, channel.now);
+    channel.step(vec![drain]);
+    while channel.now < told + Time::from_ms(15_000) {
+        channel.step(Vec::new());
+        let used = channel.bound.iter().any(|conn| channel.drained[conn].len() < DRAINED);
+        last = if used { channel.now } else { last };
+    }
+    ((last - told).seconds() + mandate().way.seconds(), channel.most)
+}
+
+/// Guards against a mass joining whose tables fill the channel for longer than a drain may take, and against
+/// tables that are reckoned without the nodes that they let back.
+#[test]
+fn a_drain_heard_while_a_thousand_proxies_join_is_kept() {
+    let grace = mandate().grace.seconds();
+    let sends = mandate().channel_pace * (mandate().grace - mandate().way_longest).seconds();
+    for mute in [false, true] {
+        for drained_after in [0, 50, 200] {
+            let (kept_after, most) = play(mute, drained_after);
+            println!(
+                "mute {mute}, told after {drained_after} steps: {kept_after:.2} s, {most:.0} lines waited"
+            );
+            assert!(kept_after <= grace, "{kept_after:.2} s, told after {drained_after} steps, mute {mute}");
+            assert!(most <= sends, "{most:.0} lines waited, and {sends:.0} leave within the grace");
+        }
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -140,6 +140,8 @@
     moved: Vec<(NodeId, Home)>,
     buffer: BTreeMap<NodeId, f64>, // changes that wait for a flush, those not small, and since when any does
     large: BTreeSet<NodeId>,
+    changed: BTreeSet<NodeId>, // nodes to be weighed anew, and all that rules looked at so far (count)
+    visits: u64,
     opened: Option<Time>,
     small: bool, // all of them are small, and when such may go
     small_due: Time,
@@ -178,10 +180,7 @@
     /// The listed nodes, and those told as draining or gone until they come back.
     snapshot: BTreeMap<NodeId, Node>,
     table: Table,
-    index: FleetIndex, // what follows from all nodes, kept up by each change, as are nodes to weigh anew
-    changed: BTreeSet<NodeId>,
-    /// Nodes looked at by rules so far (count): it must follow what changes, not how many are listed.
-    visits: u64,
+    index: FleetIndex,           // what follows from all nodes, kept up by each change
     withdrawn: BTreeSet<NodeId>, // nodes shut out at all joined proxies
     stirred: bool, // lines may differ from what was pushed: rules that go through all nodes wait for this
     proxies: BTreeMap<ProxyId, Proxy>,
@@ -219,19 +218,20 @@
 impl Balance {
     pub fn begin(now: Time, mandate: Mandate, seed: u64, orders: To) -> Balance {
         let (book, amounts) = (Book::new(&mandate, seed), vec![ALL_IN; mandate.exchanges.len()]);
+        // A withdrawal behind all that flushes and binds lay up must still come within its span.
+        let sends = mandate.channel_pace * mandate.allowed(1.0).seconds();
+        let (half, most) = ((mandate.backlog * FLUSH_SHARE).min(sends), mandate.backlog.min(sends));
         let mut balance = Balance {
             now,
             chance: Chance::new(seed),
             snapshot: BTreeMap::new(),
             table: Table { parts: 1, views: 1, seen: BTreeSet::from([ZoneId(0)]), ..Table::default() },
             index: FleetIndex::default(),
-            changed: BTreeSet::new(),
-            visits: 0,
             withdrawn: BTreeSet::new(),
             stirred: true,
             proxies: BTreeMap::new(),
             waits: BTreeSet::new(),
-            channel: Channel { book, ..Channel::default() },
+            channel: Channel { book, half, most, ..Channel::default() },
             // Starting over: what an earlier life held back is forgotten.
             fleet: Fleet { strain: Strain::Short, strained: now, crowds: true, amounts, ..Fleet::default() },
             advice: Advice::default(),
@@ -351,6 +351,7 @@
     /// All that came at this time was told: the rules are gone through.
     pub fn rang(&mut self, now: Time, orders: To) {
         self.turn(now);
+        self.channel.let_back = orders.let_back();
         // Sites with slices are not taken on: their tables stay as the store has them.
         while self.mandate.slices == 0 && RULES.iter().any(|rule| rule(self, orders)) {}
         self.channel.book.close(now);
@@ -416,6 +417,12 @@
         (parts, if parts > 1 || home { self.zones } else { 1 }, if home { groups } else { 0 })
     }
 
+    /// A part of the span within which what is ordered must hold, less the longest way.
+    fn allowed(&self, part: f64) -> Time {
+        let allowed = self.grace.min(self.bare) - self.way_longest;
+        Time::from_seconds(allowed.seconds() * part)
+    }
+
     fn ramp_span(&self) -> Time {
         self.warm_up.max(RAMP_SPAN)
     }
@@ -696,11 +703,11 @@
         alike.for_each(|alike| due.extend(self.index.members(alike.kin)));
         for id in due {
             let Some(node) = self.snapshot.get_mut(&id) else { continue };
-            self.visits += 1;
+            self.table.visits += 1;
             // A starting node's age allows a further step; one at a time, so that a stall makes no jump.
             if node.step < self.mandate.warm_steps(node.started, now) && now >= node.stepped + pace {
                 (node.step, node.stepped) = (node.step + 1, now);
-                self.changed.insert(id);
+                self.table.changed.insert(id);
             }
             let met = node.symptoms(now, evidence.lent(node));
             let stands = self.table.stands(&id);
@@ -825,9 +832,9 @@
         }
         self.index_replaced();
         // What a warm node stands at follows from itself alone; cold ones share what the fleet leaves them.
-        let mut due = std::mem::take(&mut self.changed);
+        let mut due = std::mem::take(&mut self.table.changed);
         due.extend(self.index.ramping());
-        self.visits += due.len() as u64;
+        self.table.visits += due.len() as u64;
         let mut changed = false;
         for id in due {
             let (weight, old) = (self.difference(id), self.table.stands(&id));
@@ -875,13 +882,13 @@
 
     /// What may wait in the channel where more can be ordered later as well.
     fn depth(&self) -> f64 {
-        (self.mandate.backlog * FLUSH_SHARE).min(self.channel.book.pace() * DEPTH.seconds())
+        self.channel.half.min(self.channel.book.pace() * DEPTH.seconds())
     }
 
     /// What may wait with what can't be put off long: withdrawals behind it come in time, with room.
     fn deep(&self) -> f64 {
-        let most = (self.mandate.backlog * DEEP).min(self.channel.book.pace() * self.allowed(DEEP).seconds());
-        most.max(self.mandate.backlog * FLUSH_SHARE)
+        let sent = self.channel.book.pace() * self.mandate.allowed(DEEP).seconds();
+        (self.mandate.backlog * DEEP).min(sent).max(self.channel.half)
     }
 
     /// Rules 1 and 3: proxies that wait to be bound come late, if anything but withdrawals goes first.
@@ -889,13 +896,7 @@
         let Some(joined) = self.waits.iter().map(|wait| wait.1).min() else { return false };
         let lines = self.channel.book.waiting() + self.waits.len() as f64 * self.bind_lines();
         let done = self.now + Time::from_seconds(lines / self.channel.book.pace());
-        done > joined + self.allowed(PRESSED)
-    }
-
-    /// A part of the span within which what is ordered must hold, less the longest way.
-    fn allowed(&self, part: f64) -> Time {
-        let allowed = self.mandate.grace.min(self.mandate.bare) - self.mandate.way_longest;
-        Time::from_seconds(allowed.seconds() * part)
+        done > joined + self.mandate.allowed(PRESSED)
     }
 
     /// The period is over or the count is reached, and little waits in the channel: the gathered changes go
@@ -905,9 +906,9 @@
         // Rule 1: where no line is left to pick, what is kept for withdrawals serves to lay one.
         let (bare, along, now) =
             (!self.index.has_open_line(), std::mem::take(&mut self.channel.along), self.now);
-        let (half, share) = (self.mandate.backlog * FLUSH_SHARE, if bare { 1.0 } else { FLUSH_SHARE });
+        let (half, share) = (self.channel.half, if bare { 1.0 } else { FLUSH_SHARE });
         // Rule 4: nor may a node that started anew stand at its full weight for long.
-        let late = bare || self.table.opened.is_some_and(|at| now >= at + self.allowed(0.5));
+        let late = bare || self.table.opened.is_some_and(|at| now >= at + self.mandate.allowed(0.5));
         let depth = if late { half } else { self.depth() };
         let due = self.table.opened.is_some() && self.flush_due().is_some_and(|due| now >= due);
         let held = !late && !self.waits.is_empty() && (now < self.table.rested || self.pressed());
@@ -989,14 +990,13 @@
     /// within half the backlog where one has waited so long that rules 1 and 3 are at risk.
     fn bind_waiting(&mut self, orders: To) -> bool {
         let pressed = self.pressed() && !self.table.lines.is_empty();
-        let half = self.mandate.backlog * FLUSH_SHARE;
         // Whoever is bound answers a mark, and ends what the silence of others leaves in doubt.
         // Who has waited so long goes before withdrawals told of later.
-        let late = self.waits.iter().any(|wait| self.now >= wait.1 + self.allowed(DEEP));
+        let late = self.waits.iter().any(|wait| self.now >= wait.1 + self.mandate.allowed(DEEP));
         let most = match pressed {
-            true if late => self.mandate.backlog,
+            true if late => self.channel.most,
             true if self.index.to_eject().is_empty() => self.deep(),
-            _ => half,
+            _ => self.channel.half,
         };
         let depth = if pressed { most } else { self.depth() };
         let share = if pressed || !self.index.has_open_line() { 1.0 } else { FLUSH_SHARE };
--- a/src/balance/channel.rs
+++ b/src/balance/channel.rs
@@ -9,6 +9,11 @@
 #[derive(Default)]
 pub struct Channel {
     pub book: Book,
+    /// Lines that flushes and binds may lay up; and binds that can't be put off any longer.
+    pub half: f64,
+    pub most: f64,
+    /// Nodes that a whole table may have to let back beside their lines, as the host knows (count).
+    pub let_back: usize,
     pub written: BTreeSet<ProxyId>, // proxies that this turn writes to
     /// When a node was last withdrawn.
     pub withdrew: Option<Time>,
@@ -104,7 +109,10 @@
     /// What a bind costs: the table, its levels, the nodes withdrawn from it, itself, a mark and a head.
     pub(super) fn bind_lines(&self) -> f64 {
         let (part, home) = self.index.longest_tables();
-        let lines = part + home + usize::from(home > 0) + 2;
+        // No more than stand in it, and of all that may have to be let back the share that it has of the nodes.
+        let share = part as f64 / self.table.lines.len().max(1) as f64;
+        let back = (self.channel.let_back as f64 * share).min(part as f64) as usize;
+        let lines = part + back + home + usize::from(home > 0) + 2;
         (lines + self.mandate.exchanges.len()) as f64 + self.mandate.message_head
     }
 }
--- a/src/balance/facts.rs
+++ b/src/balance/facts.rs
@@ -45,7 +45,7 @@
     /// The same where its line may have to change: it is weighed anew with the next changes gathered.
     pub(super) fn refresh(&mut self, id: NodeId) {
         self.index_node(id);
-        self.changed.insert(id);
+        self.table.changed.insert(id);
     }
 
     /// Tells it of the closed nodes whose work others are taken to do by now.
--- a/src/balance/look.rs
+++ b/src/balance/look.rs
@@ -21,7 +21,7 @@
 
     /// Nodes that rules have looked at so far (count), to tell that work follows what changes.
     pub fn visits(&self) -> u64 {
-        self.visits
+        self.table.visits
     }
 
     /// The state of its decisions, as it stands now.
@@ -74,6 +74,6 @@
         self.stirred |= advice != self.advice;
         let former = std::mem::replace(&mut self.advice, advice);
         let advised = former.weights.into_keys().chain(self.advice.weights.keys().copied());
-        self.changed.extend(advised);
+        self.table.changed.extend(advised);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -299,6 +299,10 @@
     fn clear(&mut self, table: TableId);
     /// Sends a proxy a whole table for some classes, and its changes from then on.
     fn bind(&mut self, proxy: ProxyId, table: TableId, classes: Classes);
+    /// Nodes (count) that the host may have to let back with a whole table that names them, a line for each.
+    fn let_back(&self) -> usize {
+        0
+    }
     /// Shuts a node out at all joined proxies, whatever their tables say, or lets it back in.
     fn withdraw(&mut self, node: NodeId, out: bool);
     /// Ends a node's withdrawal and drops what is kept of it; no table names it any more. Listed again, it is a
