Nodes that may be shut out: doubtful is possibly_ejected

Cause: `doubtful`, `doubt` and a watch's `doubted` did not say what is in doubt. Mechanical, no behaviour changed, no assertion touched.

--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -55,7 +55,7 @@
     parts: Vec<Part>,
     shown: BTreeSet<NodeId>,
     withdrawn: Vec<NodeId>,
-    doubtful: Vec<NodeId>,
+    possibly_ejected: Vec<NodeId>,
 }
 
 /// All that decides what a turn says to a stream: its binding, the classes bound in the turn, the ejections
@@ -87,7 +87,7 @@
     withdrawn: BTreeSet<NodeId>,
     /// Nodes that another conductor may have shut out at a proxy that comes from there: they have started
     /// anew, drained or gone at some time.
-    doubtful: BTreeSet<NodeId>,
+    possibly_ejected: BTreeSet<NodeId>,
     pub streams: BTreeMap<ProxyId, Stream>,
     /// Nodes to be dropped once the orders of this turn, which may name them, are written.
     forgotten: Vec<NodeId>,
@@ -129,8 +129,8 @@
         })
     }
 
-    pub fn doubt(&mut self, node: NodeId) {
-        self.doubtful.insert(node);
+    pub fn mark_possibly_ejected(&mut self, node: NodeId) {
+        self.possibly_ejected.insert(node);
     }
 
     /// Drops what is kept of nodes long gone, and gives them for their names to be dropped.
@@ -138,7 +138,7 @@
         let forgotten = std::mem::take(&mut self.forgotten);
         for node in &forgotten {
             self.withdrawn.remove(node);
-            self.doubtful.remove(node);
+            self.possibly_ejected.remove(node);
         }
         let mut shared: BTreeMap<usize, (EjectionsSent, EjectionsSent)> = BTreeMap::new();
         let known =
@@ -321,8 +321,8 @@
             parts.extend(levels.into_iter().map(level));
         }
         let among = |nodes: &BTreeSet<NodeId>| shown.intersection(nodes).copied().collect();
-        let (withdrawn, doubtful) = (among(&self.withdrawn), among(&self.doubtful));
-        Shape { parts, shown, withdrawn, doubtful }
+        let (withdrawn, possibly_ejected) = (among(&self.withdrawn), among(&self.possibly_ejected));
+        Shape { parts, shown, withdrawn, possibly_ejected }
     }
 
     /// The levels to be told, each with the classes that have it.
@@ -362,17 +362,17 @@
         let holds = |node: &NodeId| {
             partly || tables.iter().filter_map(|id| self.tables.get(id)).any(|t| t.lines.contains_key(node))
         };
-        let doubtful: &[NodeId] = if stream.anew { &[] } else { &shape.doubtful };
+        let possibly_ejected: &[NodeId] = if stream.anew { &[] } else { &shape.possibly_ejected };
         let mut concerned: BTreeSet<NodeId> = ejections.iter().copied().filter(holds).collect();
         // Of the nodes shown, only these can differ from what the proxy holds.
-        concerned.extend(shape.withdrawn.iter().chain(doubtful));
+        concerned.extend(shape.withdrawn.iter().chain(possibly_ejected));
         concerned.extend(stream.ejections_sent.keys().filter(|node| shape.shown.contains(node)));
         let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.ejections_sent.clone());
         for node in concerned {
             let (shut, sent) = (self.withdrawn.contains(&node), stream.ejections_sent.get(&node).copied());
             // A proxy keeps what another conductor told it over a change of streams.
-            let doubted = !shut && !stream.anew && self.doubtful.contains(&node);
-            if shut == sent.unwrap_or(doubted) {
+            let assumed = !shut && !stream.anew && self.possibly_ejected.contains(&node);
+            if shut == sent.unwrap_or(assumed) {
                 continue;
             }
             Rc::make_mut(&mut after).insert(node, shut);
--- a/crates/memory/src/reducer/discovery/mod.rs
+++ b/crates/memory/src/reducer/discovery/mod.rs
@@ -33,8 +33,8 @@
     /// The version held; the whole list is needed before the next watch.
     pub(super) version: u64,
     gap: bool,
-    /// An older list than the one held was told: when the whole list is asked for, to be taken as it stands.
-    doubted: Option<Time>,
+    /// When the whole list is asked for again, to be taken as it stands, as an older one than that held came.
+    confirm_at: Option<Time>,
     failures: u32,
     again: Option<Time>,
 }
@@ -47,7 +47,7 @@
 
     /// When something is to be asked of discovery next, if ever.
     pub(super) fn due(&self) -> Option<Time> {
-        self.again.into_iter().chain(self.doubted).min()
+        self.again.into_iter().chain(self.confirm_at).min()
     }
 
     fn ask(&mut self) -> Ask {
@@ -108,7 +108,7 @@
             return self.end_watch(cause);
         }
         self.complain(format!("discovery: {cause}"));
-        self.watch.doubted = Some(self.now + limits::TOLD_LATEST);
+        self.watch.confirm_at = Some(self.now + limits::TOLD_LATEST);
     }
 
     /// The watch is over, or the whole list did not come: tried again after a while.
@@ -137,8 +137,9 @@
             }
             (self.watch.wanted, self.watch.again) = (on, None);
         }
-        if std::mem::take(&mut self.ordered.fetched) || self.watch.doubted.is_some_and(|at| at <= self.now) {
-            self.watch.doubted = None;
+        if std::mem::take(&mut self.ordered.fetched) || self.watch.confirm_at.is_some_and(|at| at <= self.now)
+        {
+            self.watch.confirm_at = None;
             self.fetch();
         }
         let open = self.watch.open.is_some();
--- a/crates/memory/src/reducer/discovery/updates.rs
+++ b/crates/memory/src/reducer/discovery/updates.rs
@@ -25,7 +25,7 @@
         self.effects.push(Effect::Unwatch(fetch.number));
         let (version, held) = (update.version, self.watch.version);
         if version >= held {
-            (self.watch.gap, self.watch.doubted) = (false, None);
+            (self.watch.gap, self.watch.confirm_at) = (false, None);
             self.apply_update(update);
         } else if held > fetch.version {
             return self.fetch_overtaken();
@@ -43,9 +43,9 @@
         self.counters.add("lists overtaken", 1);
         let again = Some(self.now + limits::RECONNECT_FIRST);
         if self.watch.gap {
-            (self.watch.again, self.watch.doubted) = (again, None);
+            (self.watch.again, self.watch.confirm_at) = (again, None);
         } else {
-            self.watch.doubted = again;
+            self.watch.confirm_at = again;
         }
     }
 
@@ -84,7 +84,7 @@
         // With an entry missing, what is not named is not known to be gone.
         if update.whole && update.unreadable == 0 {
             let named: BTreeSet<&str> = update.entries.iter().map(|entry| entry.node.as_str()).collect();
-            self.names.missing(&named).into_iter().for_each(|node| self.ordered.doubt(node));
+            self.names.missing(&named).into_iter().for_each(|node| self.ordered.mark_possibly_ejected(node));
             self.balance.roster_whole(self.now, &listings, false, &mut self.ordered);
         } else {
             self.balance.roster_changed(self.now, &listings, &mut self.ordered);
@@ -105,7 +105,7 @@
         let still = |listing: &Listing| listing.standing != Standing::Ready || !shut.contains(&listing.node);
         let listings: Vec<Listing> = listings.into_iter().filter(still).collect();
         self.balance.roster_changed(self.now, &listings, &mut self.ordered);
-        self.watch.doubted = Some(self.now + limits::TOLD_LATEST);
+        self.watch.confirm_at = Some(self.now + limits::TOLD_LATEST);
     }
 
     pub(in crate::reducer) fn listings(&mut self, entries: &[Entry]) -> Vec<Listing> {
@@ -114,7 +114,7 @@
             let back = self.started && self.names.id(&entry.node).is_none();
             let node = self.names.list(&entry.node);
             if back || entry.started.is_some() || entry.standing != Standing::Ready {
-                self.ordered.doubt(node);
+                self.ordered.mark_possibly_ejected(node);
             }
             Listing {
                 node,
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -99,7 +99,7 @@
         let nodes: Vec<NodeId> = (0..6).map(|k| names.list(&format!("s-{k}"))).collect();
         let name = |node: NodeId| format!("s-{}", node.0[3]);
         let mut ordered = Ordered::new(CLASSES.len() as u16);
-        nodes[..3].iter().for_each(|node| ordered.doubt(*node));
+        nodes[..3].iter().for_each(|node| ordered.mark_possibly_ejected(*node));
         let mut books = Books::default();
         for (k, (what, which, how)) in steps.into_iter().enumerate() {
             let (proxy, table) = (u16::from(which) % PROXIES, u16::from(how) % 2);
