Messages of a turn: Shape, Verdict and Alike are SharedParts, StreamUpdate and UpdateKey

Cause: the names did not say what the values hold. Change: renamed, and the methods that give them: `shared_parts` and `ejection_changes`. Mechanical, no behaviour changed, no test touched.

--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -51,7 +51,7 @@
 
 /// What a turn says to all proxies of one binding that were, or were not, bound in it: the parts, the nodes
 /// with lines in them, and those of these that may have to be shut out or let back.
-struct Shape {
+struct SharedParts {
     parts: Vec<Part>,
     shown: BTreeSet<NodeId>,
     withdrawn: Vec<NodeId>,
@@ -60,10 +60,10 @@
 
 /// All that decides what a turn says to a stream: its binding, the classes bound in the turn, the ejections
 /// sent by their address, whether it came with nothing, and from where on the turn's withdrawals concern it.
-type Alike<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, usize, bool, usize);
+type UpdateKey<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, usize, bool, usize);
 
 /// What a turn says to streams that are alike, beyond the parts that they share with others.
-struct Verdict {
+struct StreamUpdate {
     /// The place of their message among all.
     group: usize,
     /// Ejections sent before, kept so that their address stays their own, and after.
@@ -201,35 +201,35 @@
         self.revision += 1;
         self.bindings.retain(|binding| Rc::strong_count(binding) > 1);
         let mut streams = std::mem::take(&mut self.streams);
-        let mut shapes: BTreeMap<(Binding, Option<&BTreeSet<ClassId>>), Shape> = BTreeMap::new();
+        let mut shared_parts: BTreeMap<(Binding, Option<&BTreeSet<ClassId>>), SharedParts> = BTreeMap::new();
         type Group<'a> = (Binding, Option<&'a BTreeSet<ClassId>>, Vec<NodeId>, Vec<NodeId>);
         let mut groups: BTreeMap<Group, usize> = BTreeMap::new();
         let mut conns: Vec<Vec<ConnId>> = Vec::new();
-        let mut verdicts: BTreeMap<Alike, Verdict> = BTreeMap::new();
+        let mut updates: BTreeMap<UpdateKey, StreamUpdate> = BTreeMap::new();
         for (proxy, stream) in &mut streams {
             let key = (stream.bound.clone(), turn.bound.get(proxy));
-            let shape = shapes
-                .entry(key)
-                .or_insert_with_key(|(binding, bound)| self.shape(&turn, binding, *bound, names, counters));
+            let shared = shared_parts.entry(key).or_insert_with_key(|(binding, bound)| {
+                self.shared_parts(&turn, binding, *bound, names, counters)
+            });
             let (sent, since) =
                 (Rc::as_ptr(&stream.ejections_sent) as usize, std::mem::take(&mut stream.since));
-            let alike = (stream.bound.clone(), turn.bound.get(proxy), sent, stream.anew, since);
-            let verdict = verdicts.entry(alike).or_insert_with(|| {
+            let update_key = (stream.bound.clone(), turn.bound.get(proxy), sent, stream.anew, since);
+            let update = updates.entry(update_key).or_insert_with(|| {
                 let ejections = turn.ejections.get(since..).unwrap_or_default();
-                let (out, back, after) = self.shut(stream, ejections, shape);
+                let (out, back, after) = self.ejection_changes(stream, ejections, shared);
                 let shuts = [&out, &back].into_iter().flatten().any(|id| names.name(*id).is_some());
-                let concerned = !shape.parts.is_empty() || shuts;
+                let concerned = !shared.parts.is_empty() || shuts;
                 let group = (stream.bound.clone(), turn.bound.get(proxy), out, back);
                 let next = groups.len();
                 let group = *groups.entry(group).or_insert(next);
                 conns.resize(groups.len(), Vec::new());
-                Verdict { group, before: stream.ejections_sent.clone(), after, concerned }
+                StreamUpdate { group, before: stream.ejections_sent.clone(), after, concerned }
             });
-            debug_assert_eq!(stream.ejections_sent, verdict.before);
-            stream.ejections_sent = verdict.after.clone();
-            let Some((mark, _)) = turn.mark.filter(|(_, everyone)| *everyone || verdict.concerned) else {
-                if verdict.concerned {
-                    conns[verdict.group].push(stream.conn);
+            debug_assert_eq!(stream.ejections_sent, update.before);
+            stream.ejections_sent = update.after.clone();
+            let Some((mark, _)) = turn.mark.filter(|(_, everyone)| *everyone || update.concerned) else {
+                if update.concerned {
+                    conns[update.group].push(stream.conn);
                 }
                 continue;
             };
@@ -239,7 +239,7 @@
             }
             stream.marks.insert(mark, now);
             counters.add("marks ordered", 1);
-            conns[verdict.group].push(stream.conn);
+            conns[update.group].push(stream.conn);
         }
         self.streams = streams;
         let addressed = groups.into_iter().map(|(group, place)| (group, std::mem::take(&mut conns[place])));
@@ -248,9 +248,9 @@
             let named = |nodes: Vec<NodeId>| nodes.into_iter().filter_map(|id| names.name(id).cloned());
             let (out, back): (Vec<Name>, Vec<Name>) = (named(out).collect(), named(back).collect());
             let key = (binding.clone(), bound);
-            let shape = shapes.get(&key);
-            let mut parts = shape.map(|shape| shape.parts.clone()).unwrap_or_default();
-            let shut = shape.map_or_else(Vec::new, |shape| named(shape.withdrawn.clone()).collect());
+            let shared = shared_parts.get(&key);
+            let mut parts = shared.map(|shared| shared.parts.clone()).unwrap_or_default();
+            let shut = shared.map_or_else(Vec::new, |shared| named(shared.withdrawn.clone()).collect());
             if parts.is_empty() {
                 parts.push(Part::default());
             }
@@ -272,14 +272,14 @@
         messages.collect()
     }
 
-    fn shape(
+    fn shared_parts(
         &self,
         turn: &Turn,
         binding: &Binding,
         bound: Option<&BTreeSet<ClassId>>,
         names: &Names,
         counters: &mut Counters,
-    ) -> Shape {
+    ) -> SharedParts {
         let bound_now = |class: &ClassId| bound.is_some_and(|bound| bound.contains(class));
         let mut groups: BTreeMap<(TableId, bool), BTreeSet<ClassId>> = BTreeMap::new();
         for (class, table) in self.all_classes().zip(binding.iter()) {
@@ -322,7 +322,7 @@
         }
         let among = |nodes: &BTreeSet<NodeId>| shown.intersection(nodes).copied().collect();
         let (withdrawn, possibly_ejected) = (among(&self.withdrawn), among(&self.possibly_ejected));
-        Shape { parts, shown, withdrawn, possibly_ejected }
+        SharedParts { parts, shown, withdrawn, possibly_ejected }
     }
 
     /// The levels to be told, each with the classes that have it.
@@ -350,11 +350,11 @@
 
     /// Nodes that a proxy must be told to shut out or to let back: those it was told of otherwise on this
     /// stream, and those with a line in this message that it may have been told to shut out on an earlier.
-    fn shut(
+    fn ejection_changes(
         &self,
         stream: &Stream,
         ejections: &[NodeId],
-        shape: &Shape,
+        shared: &SharedParts,
     ) -> (Vec<NodeId>, Vec<NodeId>, EjectionsSent) {
         // Who is bound to nothing yet gets a table in which what is shut out has no part.
         let partly = stream.bound.iter().any(Option::is_none) && stream.bound.iter().any(Option::is_some);
@@ -362,11 +362,11 @@
         let holds = |node: &NodeId| {
             partly || tables.iter().filter_map(|id| self.tables.get(id)).any(|t| t.lines.contains_key(node))
         };
-        let possibly_ejected: &[NodeId] = if stream.anew { &[] } else { &shape.possibly_ejected };
+        let possibly_ejected: &[NodeId] = if stream.anew { &[] } else { &shared.possibly_ejected };
         let mut concerned: BTreeSet<NodeId> = ejections.iter().copied().filter(holds).collect();
         // Of the nodes shown, only these can differ from what the proxy holds.
-        concerned.extend(shape.withdrawn.iter().chain(possibly_ejected));
-        concerned.extend(stream.ejections_sent.keys().filter(|node| shape.shown.contains(node)));
+        concerned.extend(shared.withdrawn.iter().chain(possibly_ejected));
+        concerned.extend(stream.ejections_sent.keys().filter(|node| shared.shown.contains(node)));
         let (mut out, mut back, mut after) = (Vec::new(), Vec::new(), stream.ejections_sent.clone());
         for node in concerned {
             let (shut, sent) = (self.withdrawn.contains(&node), stream.ejections_sent.get(&node).copied());
