Conductor: Hands is EffectRunner

Cause: a metaphor of our own. Change: renamed; `carry_out` is `run`, and the connections whose outbox it found full are `overflowed`. Mechanical, no behaviour changed, no test touched.

--- a/crates/conductor/src/run/effects.rs
+++ b/crates/conductor/src/run/effects.rs
@@ -22,8 +22,8 @@
 use crate::wire::stream::Entered;
 use crate::wire::{push, roster};
 
-/// What the effects act on. Nothing is decided by it.
-pub struct Hands {
+/// Carries out effects on sockets, tasks and the log. Nothing is decided here.
+pub struct EffectRunner {
     pub log: Logger,
     pub inbox: mpsc::Sender<Input>,
     pub conns: Conns,
@@ -41,16 +41,18 @@
     pub head: f64,
 }
 
-impl Hands {
+impl EffectRunner {
     /// Does what a turn asked for, in order. Connections whose outbox is full come back as inputs.
-    pub fn carry_out(&mut self, effects: Vec<Effect>, counters: &mut Counters) -> Vec<Input> {
-        let mut clogged = Vec::new();
+    pub fn run(&mut self, effects: Vec<Effect>, counters: &mut Counters) -> Vec<Input> {
+        let mut overflowed = Vec::new();
         // Each turn tells when it is to be woken, if at all; what an earlier one asked for is over.
         self.wake = None;
         for effect in effects {
             match effect {
-                Effect::Order(to, message) => clogged.extend(self.order(to, &message, counters)),
-                Effect::Alive(conn) => clogged.extend(self.write(conn, Bytes::from_static(push::ALIVE), 0.0)),
+                Effect::Order(to, message) => overflowed.extend(self.order(to, &message, counters)),
+                Effect::Alive(conn) => {
+                    overflowed.extend(self.write(conn, Bytes::from_static(push::ALIVE), 0.0))
+                }
                 Effect::End(conn) => self.end(conn),
                 Effect::Dismiss(conn) => self.dismiss(conn),
                 Effect::Watch { number, since } => self.watch(number, since),
@@ -62,7 +64,7 @@
                 Effect::Log(grade, text) => self.log(grade, &text),
             }
         }
-        clogged
+        overflowed
     }
 
     /// What the turn ordered goes out on the channel, if there is one.
--- a/crates/conductor/src/run/serve/mod.rs
+++ b/crates/conductor/src/run/serve/mod.rs
@@ -17,7 +17,7 @@
 
 use super::clock::Clock;
 use super::config::Posting;
-use super::effects::Hands;
+use super::effects::EffectRunner;
 use super::hooks::Hooks;
 use super::reload::{self, Unread};
 use super::signals::Signals;
@@ -58,7 +58,7 @@
     log: Logger,
     clock: Clock,
     memory: Memory,
-    hands: Hands,
+    effect_runner: EffectRunner,
     inputs: mpsc::Receiver<Input>,
     /// What followers of the snapshot channel do.
     events: Option<mpsc::Receiver<Event>>,
@@ -70,13 +70,13 @@
     unread: Option<Unread>,
     /// The time of the last turn, and connections whose outbox it has found full.
     turned: Time,
-    clogged: Vec<Input>,
+    overflowed: Vec<Input>,
 }
 
 impl Conductor {
     async fn run(&mut self, signals: &mut Signals) {
         loop {
-            let mut gathered = std::mem::take(&mut self.clogged);
+            let mut gathered = std::mem::take(&mut self.overflowed);
             if gathered.is_empty() {
                 let Some(wakeup) = self.wakeup(signals).await else { return };
                 let Some(first) = self.respond(wakeup) else { continue };
@@ -90,7 +90,7 @@
                     () = tokio::time::sleep_until(self.clock.next()) => {}
                 }
             }
-            self.turned = self.clock.turn(self.turned, self.hands.wake);
+            self.turned = self.clock.turn(self.turned, self.effect_runner.wake);
             self.gather(&mut gathered);
             self.turn(gathered);
         }
@@ -100,7 +100,7 @@
     async fn wakeup(&mut self, signals: &mut Signals) -> Option<Wakeup> {
         let reread = self.unread.as_ref().map(|unread| unread.due);
         let round = self.hooks.as_ref().map(|hooks| self.clock.instant(hooks.due()));
-        let wake = self.hands.wake.map(|at| self.clock.instant(at));
+        let wake = self.effect_runner.wake.map(|at| self.clock.instant(at));
         Some(tokio::select! {
             // Signals are few, and must not wait behind what always comes.
             biased;
@@ -136,7 +136,7 @@
     fn renew(&mut self) -> Vec<Input> {
         let renewal = reload::renewal(&self.stated);
         self.unread = renewal.is_err().then(Unread::first);
-        let server = self.hands.channel.as_ref();
+        let server = self.effect_runner.channel.as_ref();
         let told = reload::renew_operator(server, &mut self.operator, &mut self.hooks, &self.files);
         vec![Input::Renewed(renewal), Input::Noted(told)]
     }
@@ -159,7 +159,7 @@
     /// Logs the counters, and a line for each hook.
     fn show(&mut self) {
         info!(self.log, "counters: {}", self.memory.counters);
-        if let Some(server) = &self.hands.channel {
+        if let Some(server) = &self.effect_runner.channel {
             info!(self.log, "channel: {}", server.figures());
         }
         self.hooks.iter_mut().for_each(|hooks| hooks.list(self.turned));
@@ -190,20 +190,20 @@
             let Ok(event) = events.try_recv() else { break };
             gathered.extend(channel::inputs(event));
         }
-        gathered.push(Input::Entered(self.hands.entered.take()));
+        gathered.push(Input::Entered(self.effect_runner.entered.take()));
         gathered.push(Input::TimerFired);
     }
 
     /// One turn of the reducer, and what it asks for.
     fn turn(&mut self, inputs: Vec<Input>) {
         let effects = self.memory.turn(self.turned, inputs);
-        self.clogged = self.hands.carry_out(effects, &mut self.memory.counters);
-        self.hands.publish(self.turned, self.memory.settled());
+        self.overflowed = self.effect_runner.run(effects, &mut self.memory.counters);
+        self.effect_runner.publish(self.turned, self.memory.settled());
     }
 
     /// Ends the channel, and logs the counters for the last time.
     async fn stop(self) {
-        if let Some(server) = &self.hands.channel {
+        if let Some(server) = &self.effect_runner.channel {
             server.stop().await;
             info!(self.log, "channel: {}", server.figures());
         }
--- a/crates/conductor/src/run/serve/start.rs
+++ b/crates/conductor/src/run/serve/start.rs
@@ -21,7 +21,7 @@
 use crate::run::clock::Clock;
 use crate::run::config::Posting;
 use crate::run::connection::{ConnIds, Conns};
-use crate::run::effects::Hands;
+use crate::run::effects::EffectRunner;
 use crate::run::hooks::{self, Hooks};
 use crate::run::signals::Signals;
 use crate::run::{channel, peers};
@@ -74,17 +74,17 @@
         let start = memory_start(&mut posting, &operator);
         let nodes = start.known.entries.len();
         let (mut memory, effects) = Memory::begin(turned, start);
-        let mut hands = hands(&log, &inbox, &posting, &sockets, server);
+        let mut effect_runner = effect_runner(&log, &inbox, &posting, &sockets, server);
         info!(log, "listening on {}, seed {:016x}, nodes known: {nodes}", posting.listen, posting.seed);
-        listen(sockets, &hands, &posting, ids);
-        let clogged = hands.carry_out(effects, &mut memory.counters);
-        hands.publish(turned, memory.settled());
+        listen(sockets, &effect_runner, &posting, ids);
+        let overflowed = effect_runner.run(effects, &mut memory.counters);
+        effect_runner.publish(turned, memory.settled());
         let (stated, unread) = (posting, None);
         Ok(Conductor {
             log,
             clock,
             memory,
-            hands,
+            effect_runner,
             inputs,
             events,
             hooks,
@@ -93,7 +93,7 @@
             stated,
             unread,
             turned,
-            clogged,
+            overflowed,
         })
     }
 }
@@ -146,20 +146,20 @@
 }
 
 /// What carries out the reducer's effects.
-fn hands(
+fn effect_runner(
     log: &Logger,
     inbox: &mpsc::Sender<Input>,
     posting: &Posting,
     sockets: &Sockets,
     channel: Option<Server>,
-) -> Hands {
+) -> EffectRunner {
     let terms = Terms {
         zones: posting.charge.zones.clone(),
         classes: posting.charge.classes.clone(),
         proxies: posting.charge.mandate.proxies,
         longest: limits::mean_longest(&posting.charge.mandate),
     };
-    Hands {
+    EffectRunner {
         log: log.clone(),
         inbox: inbox.clone(),
         conns: Conns::default(),
@@ -177,19 +177,22 @@
 }
 
 /// Starts the tasks that take connections and datagrams.
-fn listen(sockets: Sockets, hands: &Hands, posting: &Posting, ids: ConnIds) {
-    let reader =
-        Reader { terms: hands.terms.clone(), inbox: hands.inbox.clone(), budget: Budget::of(hands.room) };
+fn listen(sockets: Sockets, effect_runner: &EffectRunner, posting: &Posting, ids: ConnIds) {
+    let reader = Reader {
+        terms: effect_runner.terms.clone(),
+        inbox: effect_runner.inbox.clone(),
+        budget: Budget::of(effect_runner.room),
+    };
     let acceptor = Acceptor {
         listener: sockets.listener,
         reader,
-        conns: hands.conns.clone(),
-        entered: hands.entered.clone(),
+        conns: effect_runner.conns.clone(),
+        entered: effect_runner.entered.clone(),
         places: Rc::new(Semaphore::new(places(posting))),
         ids,
     };
     spawn_local(acceptor.run());
     if let Some(socket) = sockets.datagrams {
-        spawn_local(peers::receive(socket, posting.peers.each.clone(), hands.inbox.clone()));
+        spawn_local(peers::receive(socket, posting.peers.each.clone(), effect_runner.inbox.clone()));
     }
 }
