Invariants: the macro must! is invariant!

Cause: the standard name. Change: renamed; the counters' keys (`missed: ...`), which docs/on-call.md names, stay. Mechanical, no behaviour changed, no test touched.

--- a/crates/channel/src/core/publisher.rs
+++ b/crates/channel/src/core/publisher.rs
@@ -8,7 +8,7 @@
 use oatpitch::interface::{ProxyId, Time, ZoneId};
 use oatpitch_memory::counters::Counters;
 use oatpitch_memory::message::{self, Binding, Message};
-use oatpitch_memory::{ConnId, must};
+use oatpitch_memory::{ConnId, invariant};
 
 use super::codec::Codec;
 use super::line::*;
@@ -535,7 +535,7 @@
         let feed = self.feeds.entry(id).or_insert_with(|| Feed::new(Revision(message.revision)));
         if fresh {
             let whole = parts.iter().any(|part| part.whole);
-            must!(self.counters, whole, "a feed begins with a whole table");
+            invariant!(self.counters, whole, "a feed begins with a whole table");
             feed.table.apply(&parts, &self.names);
             // Its first follower may have been told of some before it was bound.
             feed.table.out.extend(message.shut.iter().cloned());
--- a/crates/conductor/src/wire/push.rs
+++ b/crates/conductor/src/wire/push.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use oatpitch::interface::FurtherTries;
 use oatpitch_memory::counters::Counters;
+use oatpitch_memory::invariant;
 use oatpitch_memory::message::{Level, Name, Part};
-use oatpitch_memory::must;
 use serde::Serialize;
 
 use super::limits;
@@ -78,9 +78,9 @@
             written += 1;
         }
     }
-    must!(counters, written <= PARTS_MOST, "a message has at most 64 parts");
+    invariant!(counters, written <= PARTS_MOST, "a message has at most 64 parts");
     let short = |line: &[u8]| line.len() <= limits::LINE_LONGEST;
-    must!(counters, bytes.split(|byte| *byte == b'\n').all(short), "a line is within the longest");
+    invariant!(counters, bytes.split(|byte| *byte == b'\n').all(short), "a line is within the longest");
     bytes.into()
 }
 
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -22,7 +22,7 @@
 
 /// What must hold: asserted in debug builds, counted in release builds.
 #[macro_export]
-macro_rules! must {
+macro_rules! invariant {
     ($counters:expr, $holds:expr, $what:literal) => {{
         let holds: bool = $holds;
         debug_assert!(holds, $what);
--- a/crates/memory/src/ordered.rs
+++ b/crates/memory/src/ordered.rs
@@ -10,7 +10,7 @@
 use super::message::{Binding, Level, Message, Name, Part};
 use super::names::Names;
 use super::{ConnId, Effect, Grade, limits};
-use crate::must;
+use crate::invariant;
 
 #[derive(Debug, Default)]
 struct Table {
@@ -302,7 +302,7 @@
             let mut named = Vec::new();
             for (node, weight) in &lines {
                 let name = names.name(*node);
-                must!(counters, name.is_some(), "a line names a listed node");
+                invariant!(counters, name.is_some(), "a line names a listed node");
                 named.extend(name.map(|name| (name.clone(), *weight)));
             }
             let mut levels = self.levels(turn, table, *id, *whole, classes);
--- a/crates/memory/src/reducer/connections.rs
+++ b/crates/memory/src/reducer/connections.rs
@@ -7,7 +7,7 @@
 
 use super::Memory;
 use crate::inbound::PeerMessage;
-use crate::{ConnId, Effect, Ending, limits, must};
+use crate::{ConnId, Effect, Ending, invariant, limits};
 
 /// Who is at the other end of a connection, as far as it has said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -209,7 +209,7 @@
         self.effects.push(Effect::End(conn));
         if let Some((Party::Proxy(proxy), _)) = self.conns.remove(&conn) {
             let own = self.ordered.streams.get(&proxy).is_some_and(|stream| stream.conn == conn);
-            must!(self.counters, own, "a proxy's connection is its stream");
+            invariant!(self.counters, own, "a proxy's connection is its stream");
             self.counters.add("streams ended", 1);
             self.ordered.leave(proxy);
             self.tags.remove(&proxy);
