Tests of the memory by topic: tests.rs is a folder

Change: its items are moved into tests/*.rs by topic, with the desk and the plain proxy in files of their own. No assertion is touched: without `pub`, `use`, `mod`, module docs and blank lines, the sorted lines are the same before and after; 24 tests before and after.

--- /dev/null
+++ b/crates/memory/src/tests/orders.rs
@@ -0,0 +1,175 @@
+//! Generated orders, applied by a plain proxy and counted by the tests' own books.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oatpitch::interface::*;
+use quickcheck::{Gen, QuickCheck};
+
+use super::plain_proxy::{CLASSES, PROXIES, Plain};
+use crate::ConnId;
+use crate::counters::Counters;
+use crate::names::Names;
+use crate::ordered::Ordered;
+
+/// What was ordered, by the tests' own books, and what that counts by the wire page.
+#[derive(Default)]
+struct Books {
+    tables: BTreeMap<u16, BTreeMap<NodeId, f32>>,
+    levels: BTreeMap<(u16, u16), (f32, FurtherTries)>,
+    withdrawn: BTreeSet<NodeId>,
+    bound: BTreeMap<(u16, usize), u16>,
+    proxies: BTreeMap<u16, Plain>,
+    /// Lines of this turn, for each proxy that it concerns.
+    turn: BTreeMap<u16, usize>,
+}
+
+impl Books {
+    fn count(&mut self, proxy: u16, lines: usize) {
+        *self.turn.entry(proxy).or_default() += lines;
+    }
+
+    fn users(&self, table: u16) -> BTreeSet<u16> {
+        self.bound.iter().filter(|(_, bound)| **bound == table).map(|((proxy, _), _)| *proxy).collect()
+    }
+}
+
+/// Whatever is ordered, every proxy that applies its messages ends with just the table, levels and
+/// withdrawals that were ordered, and the messages cost no more lines than the wire page says, but for nodes
+/// let back that an earlier conductor may have shut out.
+#[test]
+fn a_plain_proxy_ends_with_what_was_ordered() {
+    fn play(steps: Vec<(u8, u8, u8)>) {
+        let (mut names, mut counters) = (Names::default(), Counters::default());
+        let nodes: Vec<NodeId> = (0..6).map(|k| names.list(&format!("s-{k}"))).collect();
+        let name = |node: NodeId| format!("s-{}", node.0[3]);
+        let mut ordered = Ordered::new(CLASSES.len() as u16);
+        nodes[..3].iter().for_each(|node| ordered.mark_possibly_ejected(*node));
+        let mut books = Books::default();
+        for (k, (what, which, how)) in steps.into_iter().enumerate() {
+            let (proxy, table) = (u16::from(which) % PROXIES, u16::from(how) % 2);
+            let node = nodes[usize::from(which) % nodes.len()];
+            let named = (0..2).filter(|class| (how / 2) & (1 << class) != 0).map(ClassId);
+            let classes = Classes(named.collect());
+            let named = classes.0.clone();
+            let meant = |class: usize| named.is_empty() || named.contains(&ClassId(class as u16));
+            match what % 8 {
+                0 => {
+                    ordered.join(ProxyId(proxy), ConnId(k as u64), false);
+                    // It brings what another conductor told it.
+                    let out = nodes[..3].iter().filter(|node| how & (1 << node.0[3]) != 0);
+                    let plain = Plain { out: out.map(|node| name(*node)).collect(), ..Plain::default() };
+                    books.proxies.insert(proxy, plain);
+                    books.bound.retain(|(bound, _), _| *bound != proxy);
+                    books.turn.remove(&proxy);
+                }
+                1 => {
+                    ordered.leave(ProxyId(proxy));
+                    books.proxies.remove(&proxy);
+                    books.bound.retain(|(bound, _), _| *bound != proxy);
+                    books.turn.remove(&proxy);
+                }
+                2 => {
+                    let weight = f64::from(how / 2 % 4) * 0.3;
+                    ordered.line(TableId(table), node, weight);
+                    let lines = books.tables.entry(table).or_default();
+                    if weight > 0.0 {
+                        lines.insert(node, weight as f32)
+                    } else {
+                        lines.remove(&node)
+                    };
+                    books.users(table).into_iter().for_each(|proxy| books.count(proxy, 1));
+                }
+                3 if books.proxies.contains_key(&proxy) => {
+                    ordered.bind(ProxyId(proxy), TableId(table), classes);
+                    for class in (0..CLASSES.len()).filter(|class| meant(*class)) {
+                        books.bound.insert((proxy, class), table);
+                    }
+                    // Of the table as it will be written at the end of the turn.
+                    books.count(proxy, 1 + nodes.len() + CLASSES.len() + nodes.len());
+                }
+                4 => {
+                    ordered.withdraw(node, how % 2 == 0);
+                    if how % 2 == 0 {
+                        books.withdrawn.insert(node)
+                    } else {
+                        books.withdrawn.remove(&node)
+                    };
+                    let proxies: Vec<u16> = books.proxies.keys().copied().collect();
+                    proxies.into_iter().for_each(|proxy| books.count(proxy, 1));
+                }
+                5 => {
+                    let tries = [FurtherTries::None, FurtherTries::One][usize::from(which % 2)];
+                    ordered.level(Some(TableId(table)), classes, tries, 0.5);
+                    for class in (0..CLASSES.len()).filter(|class| meant(*class)) {
+                        books.levels.insert((table, class as u16), (0.5, tries));
+                        books.users(table).into_iter().for_each(|proxy| books.count(proxy, 1));
+                    }
+                }
+                6 => {
+                    ordered.clear(TableId(table));
+                    books.tables.remove(&table);
+                    books.levels.retain(|(cleared, _), _| *cleared != table);
+                    let whole = 1 + 2 * nodes.len() + CLASSES.len();
+                    books.users(table).into_iter().for_each(|proxy| books.count(proxy, whole));
+                }
+                _ => {
+                    ordered.mark(k as u16, how % 4 == 0);
+                    close(&mut ordered, &names, &mut counters, &mut books, Some(how % 4 == 0));
+                }
+            }
+        }
+        close(&mut ordered, &names, &mut counters, &mut books, None);
+        for (proxy, plain) in &books.proxies {
+            for (class, class_name) in CLASSES.iter().enumerate() {
+                let Some(table) = books.bound.get(&(*proxy, class)) else { continue };
+                let lines = books.tables.get(table).cloned().unwrap_or_default();
+                let held = plain.tables.get(*class_name).cloned().unwrap_or_default();
+                let wanted: BTreeMap<String, f32> =
+                    lines.iter().map(|(node, weight)| (name(*node), *weight)).collect();
+                assert_eq!(held, wanted, "proxy {proxy}, {class_name}");
+                let level = books.levels.get(&(*table, class as u16));
+                assert_eq!(plain.levels.get(*class_name), level, "proxy {proxy}, {class_name}");
+                for node in lines.keys() {
+                    let shut = plain.out.contains(&name(*node));
+                    assert_eq!(shut, books.withdrawn.contains(node), "proxy {proxy}, {}", name(*node));
+                }
+            }
+            if !(0..CLASSES.len()).any(|class| books.bound.contains_key(&(*proxy, class))) {
+                assert!(plain.tables.is_empty() && plain.levels.is_empty(), "orders for an unbound proxy");
+            }
+        }
+    }
+
+    fn close(
+        ordered: &mut Ordered,
+        names: &Names,
+        counters: &mut Counters,
+        books: &mut Books,
+        everyone: Option<bool>,
+    ) {
+        let conns: BTreeMap<ConnId, u16> =
+            ordered.streams.iter().map(|(proxy, stream)| (stream.conn, proxy.0)).collect();
+        let mut written = BTreeSet::new();
+        let messages = ordered.close(Time(1), 0, names, counters);
+        let each = messages.iter().flat_map(|(to, message)| to.iter().map(move |conn| (conn, message)));
+        for (conn, message) in each {
+            let proxy = conns[conn];
+            assert!(written.insert(proxy), "two messages in one turn");
+            let plain = books.proxies.get_mut(&proxy).expect("joined");
+            let cost = plain.apply(message);
+            // Nodes in doubt are let back once on a stream, beyond what the page counts.
+            let most = books.turn.get(&proxy).map_or(0, |lines| lines + 3) + usize::from(everyone.is_some());
+            assert!(cost <= most, "{cost} lines where {most} are reckoned with");
+            assert!(everyone == Some(true) || books.turn.contains_key(&proxy), "no order concerns it");
+        }
+        if everyone == Some(true) {
+            assert_eq!(written.len(), books.proxies.len());
+        }
+        books.turn.clear();
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 7))
+        .tests(400)
+        .quickcheck(play as fn(Vec<(u8, u8, u8)>));
+}
--- /dev/null
+++ b/crates/memory/src/tests/plain_proxy.rs
@@ -0,0 +1,58 @@
+//! A proxy that applies messages just as the wire page says.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oatpitch::interface::*;
+
+use crate::message::{Message, Part};
+
+pub const CLASSES: [&str; 2] = ["quote", "advance"];
+pub const PROXIES: u16 = 4;
+
+/// A proxy that does as the wire page says, and no more.
+#[derive(Clone, Debug, Default)]
+pub struct Plain {
+    pub tables: BTreeMap<String, BTreeMap<String, f32>>,
+    pub levels: BTreeMap<String, (f32, FurtherTries)>,
+    pub out: BTreeSet<String>,
+    pub marks: Vec<u64>,
+}
+
+impl Plain {
+    /// The nodes that it may pick for a class.
+    pub fn open(&self, class: &str) -> Vec<&str> {
+        self.tables[class].keys().map(String::as_str).filter(|node| !self.out.contains(*node)).collect()
+    }
+
+    /// Applies a message, and gives what it counts in the channel without its head.
+    pub fn apply(&mut self, message: &Message) -> usize {
+        assert!(!message.parts.is_empty());
+        for part in &message.parts {
+            let touched = part.whole || !part.lines.is_empty() || part.level.is_some();
+            let all: Vec<usize> = (0..CLASSES.len()).collect();
+            let meant: Vec<usize> = part.classes.iter().map(|class| usize::from(class.0)).collect();
+            for class in if meant.is_empty() { all } else { meant }.into_iter().filter(|_| touched) {
+                let class = CLASSES[class].to_string();
+                let table = self.tables.entry(class.clone()).or_default();
+                if part.whole {
+                    table.clear();
+                    self.levels.remove(&class);
+                }
+                for (name, weight) in &part.lines {
+                    if *weight > 0.0 {
+                        table.insert(name.to_string(), *weight);
+                    } else {
+                        table.remove(&**name);
+                    }
+                }
+                if let Some((tries, amount)) = part.level {
+                    self.levels.insert(class, (amount, tries));
+                }
+            }
+            self.out.extend(part.out.iter().map(|name| name.to_string()));
+            part.back.iter().for_each(|name| _ = self.out.remove(&**name));
+            self.marks.extend(part.mark.map(u64::from));
+        }
+        message.parts.iter().map(Part::cost).sum()
+    }
+}
