--- a/crates/memory/src/reducer/discovery/too_long.rs
+++ b/crates/memory/src/reducer/discovery/too_long.rs
@@ -40,7 +40,7 @@
             self.reopen_at(until);
         } else {
             // The watch stands, and goes on.
-            self.watch.doubted = Some(until.max(self.now + limits::TOLD_LATEST));
+            self.watch.confirm_at = Some(until.max(self.now + limits::TOLD_LATEST));
         }
     }
 
--- a/crates/memory/src/tests/too_long.rs
+++ b/crates/memory/src/tests/too_long.rs
@@ -1,6 +1,12 @@
 //! Lists that there is no room for, and what a conductor without any list answers.
 
-use super::*;
+use std::collections::BTreeMap;
+
+use oatpitch::interface::*;
+
+use super::desk::*;
+use crate::inbound::{DocumentTooLong, MembershipUpdate, PeerMessage};
+use crate::{ConnId, Effect, Ending, Grade, Input};
 
 const TOO_LONG: DocumentTooLong = DocumentTooLong { allowed: 1_000, seen: 1_001 };
 
