--- /dev/null
+++ b/crates/scale/src/core/report.rs
@@ -0,0 +1,313 @@
+//! The figures of each point, as JSON and as a table.
+
+use serde::Serialize;
+
+use super::plan::Plan;
+use super::propagation::Spread;
+
+/// How far a point came within its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// All was done.
+    Served,
+    /// No sign of life came.
+    NeverAlive,
+    /// Some proxy was never sent a whole table.
+    NoTable,
+    /// The time was over before all was measured.
+    Stopped,
+    /// The conductor ended by itself.
+    Ended,
+    /// It could not be started, or the run itself failed.
+    Failed,
+}
+
+impl Outcome {
+    fn words(self) -> &'static str {
+        match self {
+            Outcome::Served => "yes",
+            Outcome::NeverAlive => "not served: never alive",
+            Outcome::NoTable => "not served: proxies without a table",
+            Outcome::Stopped => "not served: out of time",
+            Outcome::Ended => "not served: it ended",
+            Outcome::Failed => "not run",
+        }
+    }
+}
+
+/// What one conductor cost, and what was seen of it; of several conductors, their mean.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ConductorFigures {
+    /// From its start to its first sign of life.
+    pub alive_seconds: Option<f64>,
+    /// From the proxies' joining until the last of them was sent its whole table.
+    pub tables_seconds: Option<f64>,
+    /// Processor time from its start until it is quiet after joining.
+    pub start_cpu_seconds: f64,
+    pub idle_cores: Option<f64>,
+    /// Processor time of the drains without the idle share, by drain.
+    pub change_cpu_ms: Option<f64>,
+    /// Share of a core over the time of the drains, idle included.
+    pub change_cores: Option<f64>,
+    /// Share of a core over the time of the changes by chance, idle included.
+    pub churn_cores: Option<f64>,
+    pub restart_alive_seconds: Option<f64>,
+    pub restart_tables_seconds: Option<f64>,
+    pub restart_cpu_seconds: Option<f64>,
+    pub peak_memory_mb: f64,
+    pub memory_mb: f64,
+}
+
+impl ConductorFigures {
+    /// Whether a core is full without a change: what a change costs can't be told then, as nothing is left for it.
+    pub fn is_full_at_rest(&self) -> bool {
+        const FULL: f64 = 0.9;
+        self.idle_cores.is_some_and(|cores| cores >= FULL)
+    }
+}
+
+/// What was counted from outside.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct OutsideFigures {
+    pub list_bytes: u64,
+    pub joining_bytes_per_proxy: f64,
+    pub joining_messages_per_proxy: f64,
+    pub bytes_to_proxies: u64,
+    pub messages_to_proxies: u64,
+    pub lines_to_proxies: u64,
+    pub bytes_from_proxies: u64,
+    pub messages_from_proxies: u64,
+    pub bytes_from_discovery: u64,
+    pub documents_from_discovery: u64,
+    pub changes: u64,
+    /// From a change to the last proxy that has it, and to each proxy.
+    pub last_proxy: Spread,
+    pub each_proxy: Spread,
+    /// Withdrawals that some proxy had not got by the end.
+    pub changes_not_reached: u64,
+    pub proxies_without_table: usize,
+    pub proxies_without_line: usize,
+    /// Streams that a conductor ended.
+    pub streams_ended: u64,
+    pub streams_unusable: u64,
+    pub peak_channel_lines: f64,
+    /// Longest time by which the run itself was late: a figure of a late run is no figure of the conductor.
+    pub own_lateness_ms: f64,
+}
+
+/// One point, measured once.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PointReport {
+    pub program: String,
+    pub plan: Plan,
+    pub outcome: Outcome,
+    pub seconds: f64,
+    pub conductor: ConductorFigures,
+    pub outside: OutsideFigures,
+    /// Why it failed, or the conductor's last lines where it ended or did not serve.
+    pub notes: Vec<String>,
+}
+
+impl PointReport {
+    /// Nothing is measured yet.
+    pub fn new(program: String, plan: Plan) -> PointReport {
+        PointReport {
+            program,
+            plan,
+            outcome: Outcome::Failed,
+            seconds: 0.0,
+            conductor: ConductorFigures::default(),
+            outside: OutsideFigures::default(),
+            notes: Vec::new(),
+        }
+    }
+}
+
+/// The whole run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RunReport {
+    pub command: Vec<String>,
+    /// Load of the machine and its cores when the run began and when it ended.
+    pub cores: usize,
+    pub load_at_start: Option<f64>,
+    pub load_at_end: Option<f64>,
+    pub points: Vec<PointReport>,
+}
+
+/// A column: its heading and the figure that it shows, where there is one.
+struct Column {
+    heading: &'static str,
+    figure: fn(&PointReport) -> Option<f64>,
+    unit: Unit,
+}
+
+#[derive(Clone, Copy)]
+enum Unit {
+    Seconds,
+    Millis,
+    Share,
+    Count,
+    Bytes,
+    Megabytes,
+}
+
+impl Unit {
+    fn show(self, figure: f64) -> String {
+        match self {
+            Unit::Seconds => format!("{} s", significant(figure)),
+            Unit::Millis => format!("{} ms", significant(figure)),
+            Unit::Share => significant(figure),
+            Unit::Count => format!("{figure:.0}"),
+            Unit::Bytes if figure < 1e6 => format!("{} KB", significant(figure / 1e3)),
+            Unit::Bytes => format!("{} MB", significant(figure / 1e6)),
+            Unit::Megabytes => format!("{figure:.0} MB"),
+        }
+    }
+}
+
+/// Two digits that count, and whole numbers from 10 on.
+fn significant(figure: f64) -> String {
+    match figure.abs() {
+        0.0 => "0".into(),
+        size if size >= 10.0 => format!("{figure:.0}"),
+        size if size >= 1.0 => format!("{figure:.1}"),
+        size if size >= 0.1 => format!("{figure:.2}"),
+        size if size >= 0.01 => format!("{figure:.3}"),
+        _ => format!("{figure:.4}"),
+    }
+}
+
+const COLUMNS: &[Column] = &[
+    Column { heading: "list", figure: |point| Some(point.outside.list_bytes as f64), unit: Unit::Bytes },
+    Column { heading: "alive after", figure: |point| point.conductor.alive_seconds, unit: Unit::Seconds },
+    Column {
+        heading: "all have a table after",
+        figure: |point| point.conductor.tables_seconds,
+        unit: Unit::Seconds,
+    },
+    Column {
+        heading: "CPU of start and joining",
+        figure: |point| Some(point.conductor.start_cpu_seconds),
+        unit: Unit::Seconds,
+    },
+    Column {
+        heading: "idle, share of a core",
+        figure: |point| point.conductor.idle_cores,
+        unit: Unit::Share,
+    },
+    Column {
+        heading: "CPU a change",
+        figure: |point| point.conductor.change_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        unit: Unit::Millis,
+    },
+    Column {
+        heading: "share of a core while changes come",
+        figure: |point| point.conductor.change_cores,
+        unit: Unit::Share,
+    },
+    Column {
+        heading: "change to last proxy, median",
+        figure: |point| spread(point, point.outside.last_proxy.median_ms),
+        unit: Unit::Millis,
+    },
+    Column {
+        heading: "99th",
+        figure: |point| spread(point, point.outside.last_proxy.p99_ms),
+        unit: Unit::Millis,
+    },
+    Column {
+        heading: "longest",
+        figure: |point| spread(point, point.outside.last_proxy.longest_ms),
+        unit: Unit::Millis,
+    },
+    Column {
+        heading: "not reached",
+        figure: |point| Some(point.outside.changes_not_reached as f64),
+        unit: Unit::Count,
+    },
+    Column {
+        heading: "bytes a proxy at joining",
+        figure: |point| Some(point.outside.joining_bytes_per_proxy),
+        unit: Unit::Bytes,
+    },
+    Column {
+        heading: "alive after a restart",
+        figure: |point| point.conductor.restart_alive_seconds,
+        unit: Unit::Seconds,
+    },
+    Column {
+        heading: "tables after a restart",
+        figure: |point| point.conductor.restart_tables_seconds,
+        unit: Unit::Seconds,
+    },
+    Column { heading: "peak", figure: |point| Some(point.conductor.peak_memory_mb), unit: Unit::Megabytes },
+    Column {
+        heading: "proxies without a line",
+        figure: |point| Some(point.outside.proxies_without_line as f64),
+        unit: Unit::Count,
+    },
+    Column {
+        heading: "run late by",
+        figure: |point| Some(point.outside.own_lateness_ms),
+        unit: Unit::Millis,
+    },
+];
+
+/// Nothing where no change was measured.
+fn spread(point: &PointReport, figure: f64) -> Option<f64> {
+    (point.outside.last_proxy.count > 0).then_some(figure)
+}
+
+fn row(cells: impl IntoIterator<Item = String>) -> String {
+    let cells: Vec<String> = cells.into_iter().collect();
+    format!("| {} |\n", cells.join(" | "))
+}
+
+/// A row for each point; where two programs were measured at the same point, a row with the ratio follows.
+pub fn markdown(points: &[PointReport]) -> String {
+    let fixed = ["program", "nodes", "zones", "proxies", "conductors", "served"].map(String::from);
+    let headings: Vec<String> =
+        fixed.into_iter().chain(COLUMNS.iter().map(|column| column.heading.into())).collect();
+    let mut table = row(headings.iter().cloned());
+    table += &row(headings.iter().map(|_| "---".into()));
+    for (place, point) in points.iter().enumerate() {
+        table += &point_row(point);
+        let before = place.checked_sub(1).and_then(|place| points.get(place));
+        if let Some(before) = before.filter(|before| is_other_program(before, point)) {
+            table += &ratio_row(before, point);
+        }
+    }
+    table
+}
+
+fn is_other_program(before: &PointReport, point: &PointReport) -> bool {
+    before.plan == point.plan && before.program != point.program
+}
+
+fn point_row(point: &PointReport) -> String {
+    let plan = &point.plan;
+    let counts = [plan.nodes, plan.zones, plan.proxies.into(), plan.conductors.into()];
+    let fixed = [point.program.clone()].into_iter().chain(counts.iter().map(u32::to_string));
+    let cell = |column: &Column| match (column.figure)(point) {
+        Some(figure) => column.unit.show(figure),
+        None => String::new(),
+    };
+    let served = match point.outcome {
+        Outcome::Served if point.conductor.is_full_at_rest() => "yes, with a core full at rest",
+        outcome => outcome.words(),
+    };
+    row(fixed.chain([served.into()]).chain(COLUMNS.iter().map(cell)))
+}
+
+/// The first program's figure over the second's.
+fn ratio_row(first: &PointReport, second: &PointReport) -> String {
+    let cell = |column: &Column| match ((column.figure)(first), (column.figure)(second)) {
+        (Some(first), Some(second)) if first > 0.0 && second > 0.0 => {
+            format!("x {}", significant(first / second))
+        }
+        _ => String::new(),
+    };
+    let fixed = std::iter::once("first over second".to_string()).chain((0..5).map(|_| String::new()));
+    row(fixed.chain(COLUMNS.iter().map(cell)))
+}
--- /dev/null
+++ b/crates/scale/src/net/conductor.rs
@@ -0,0 +1,132 @@
+//! Real conductors: started with a configuration of the run's own, asked for a sign of life, measured and ended.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use oatpitch_standins::conductor::{config, settings};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::proc_fs::{self, Resident};
+use super::world::{CHANNEL_LINES_MOST, CHANNEL_LINES_PER_SECOND, MESSAGE_HEAD, WAY, World};
+
+/// Descriptors of a conductor beside those of its proxies.
+const SOCKETS_BESIDE: u32 = 128;
+const SOCKETS_LEAST: u32 = 1_024;
+/// How often a conductor that gives no sign of life is asked again, and how long one answer is waited for.
+const PROBE_PAUSE: Duration = Duration::from_millis(5);
+const PROBE_LONGEST: Duration = Duration::from_millis(1_200);
+/// Lines of the log that a report keeps.
+const LOG_LINES: usize = 5;
+
+/// A conductor as a process of its own, killed with this value.
+pub struct Conductor {
+    child: Child,
+    folder: PathBuf,
+    started: Instant,
+}
+
+/// The configuration of one conductor before the fleet of a world.
+pub fn configuration(world: &World, name: &str, listen: SocketAddr, discovery: SocketAddr) -> Value {
+    let plan = &world.plan;
+    let mut config = config(name, listen, discovery, plan.proxies.into());
+    let sockets = (u32::from(plan.proxies) + SOCKETS_BESIDE).max(SOCKETS_LEAST);
+    config["limits"] = json!({"memory_mb": plan.memory_mb, "sockets": sockets});
+    let mut settings = settings(plan.proxies.into());
+    settings["azs"] = json!(world.fleet.borrow().zones());
+    let specifics = &mut settings["specifics"];
+    specifics["egress_per_s"] = json!(CHANNEL_LINES_PER_SECOND);
+    specifics["pending_max"] = json!(CHANNEL_LINES_MOST);
+    specifics["head"] = json!(MESSAGE_HEAD);
+    specifics["push_delay_us"] = json!(WAY.as_micros() as u64);
+    config["settings"] = settings;
+    config
+}
+
+impl Conductor {
+    /// Starts a program; `known` is the list that it is given as its last one, where there is one.
+    pub fn start(program: &Path, config: &Value, known: Option<Bytes>) -> Result<Conductor> {
+        let name = config["name"].as_str().unwrap_or_default();
+        let folder = std::env::temp_dir().join(format!("oatpitch-scale-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).with_context(|| folder.display().to_string())?;
+        let mut text = config.to_string();
+        if let Some(known) = known {
+            // The list is JSON already, and long.
+            text.pop();
+            text = format!(r#"{text},"known":{}}}"#, String::from_utf8_lossy(&known));
+        }
+        std::fs::write(folder.join("config.json"), text)?;
+        let log = File::create(folder.join("log"))?;
+        let child = Command::new(program)
+            .env_clear()
+            .env("NODE_CONFIG", folder.join("config.json"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| program.display().to_string())?;
+        Ok(Conductor { child, folder, started: Instant::now() })
+    }
+
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Processor time since its start.
+    pub fn cpu_seconds(&self) -> f64 {
+        proc_fs::cpu_time(self.child.id()).unwrap_or_default().as_secs_f64()
+    }
+
+    pub fn resident(&self) -> Resident {
+        proc_fs::resident(self.child.id()).unwrap_or_default()
+    }
+
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// The last lines of its log.
+    pub fn last_lines(&self) -> Vec<String> {
+        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(LOG_LINES)..].iter().map(|line| line.to_string()).collect()
+    }
+}
+
+impl Drop for Conductor {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Asks for a sign of life until one comes.
+pub async fn until_alive(conductor: &mut Conductor, address: SocketAddr) -> Result<Duration> {
+    loop {
+        if let Ok(Ok(true)) = tokio::time::timeout(PROBE_LONGEST, probe(address)).await {
+            return Ok(conductor.started().elapsed());
+        }
+        if conductor.has_ended() {
+            bail!("it ended before it gave a sign of life");
+        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+    }
+}
+
+async fn probe(address: SocketAddr) -> std::io::Result<bool> {
+    let mut stream = BufReader::new(TcpStream::connect(address).await?);
+    stream.write_all(b"{\"t\":\"probe\"}\n").await?;
+    let mut line = String::new();
+    stream.read_line(&mut line).await?;
+    Ok(line.contains("alive"))
+}
