--- /dev/null
+++ b/crates/scale/src/core/checker.rs
@@ -0,0 +1,584 @@
+//! The five rules, checked from outside: fed in the order of time with what was told to each conductor and what each
+//! proxy received, it tells every break. It knows nothing of how a conductor decides.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::Serialize;
+
+use super::channel::Channel;
+use super::fleet::{Listed, NodeState};
+use super::ids::{ClassIndex, ConductorIndex, Micros, NodeIndex, ProxyIndex};
+use super::message::Message;
+use super::proxy_table::ProxyTable;
+use super::terms::Terms;
+
+/// How often rules that break by the passing of time alone are looked at, and the loads of cold nodes.
+const SWEEP: Micros = Micros::from_millis(50);
+const COLD_SWEEP: Micros = Micros::from_millis(250);
+/// Part of a cold node's load that must come from proxies that could know of its start.
+const KNOWING_PART: f64 = 2.0 / 3.0;
+/// Breaks of each rule that are kept with all that is known of them; all are counted.
+const KEPT_MOST: usize = 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// 1: a joined proxy has no line to pick for too long.
+    WithoutLine,
+    /// 2: a class is tried again in a way that may run it twice.
+    RunTwice,
+    /// 3: a node that drains or is gone is used beyond the grace.
+    Drain,
+    /// 4: a cold node gets more than it bears.
+    ColdNode,
+    /// 5: too many lines wait in a channel.
+    Queue,
+    /// 5, too: more messages to one proxy than its limit allows.
+    Messages,
+}
+
+/// One break of a rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Violation {
+    pub rule: Rule,
+    pub at: Micros,
+    pub conductor: Option<ConductorIndex>,
+    pub proxy: Option<ProxyIndex>,
+    pub node: Option<NodeIndex>,
+    pub class: Option<ClassIndex>,
+}
+
+/// Whose doing it is that a stream is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The network's, or its conductor has died: the proxy counts as left.
+    Broken,
+    /// The conductor ended it, or lost it by what it wrote or left unread: time limits run on.
+    ByConductor,
+}
+
+/// What a conductor was told of a node, and when.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    listed: Listed,
+    at: Micros,
+}
+
+#[derive(Clone, Debug)]
+struct Conductor {
+    /// When its time limits begin; none before it has answered.
+    begin: Option<Micros>,
+    nodes: BTreeMap<NodeIndex, Told>,
+    draining: BTreeSet<NodeIndex>,
+    /// Nodes that are ready, by when they are warm.
+    ready: BTreeSet<(Micros, NodeIndex)>,
+    /// When its list last changed, and since when it has held a warm one.
+    told: Micros,
+    warm_since: Option<Micros>,
+    channel: Channel,
+}
+
+impl Conductor {
+    /// It has neither answered nor been told anything.
+    fn new(lines_per_second: f64) -> Conductor {
+        Conductor {
+            begin: None,
+            nodes: BTreeMap::new(),
+            draining: BTreeSet::new(),
+            ready: BTreeSet::new(),
+            told: Micros::default(),
+            warm_since: None,
+            channel: Channel::new(lines_per_second),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Proxy {
+    table: ProxyTable,
+    /// The conductor whose limits run for it, and since when.
+    conductor: Option<ConductorIndex>,
+    since: Micros,
+    rate: f64,
+    last_message: Option<Micros>,
+    /// Messages within the span of the limit on them, where there is one.
+    messages: VecDeque<Micros>,
+}
+
+/// A time limit that runs out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Drain(ConductorIndex, NodeIndex),
+    Joined(ProxyIndex),
+}
+
+/// A class of a proxy that has no line.
+#[derive(Clone, Copy, Debug)]
+struct Bare {
+    since: Micros,
+    counted: bool,
+}
+
+/// A cold node that gets more than it bears.
+#[derive(Clone, Copy, Debug)]
+struct Overload {
+    since: Micros,
+    counted: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Checker {
+    terms: Terms,
+    conductors: Vec<Conductor>,
+    proxies: Vec<Proxy>,
+    dues: BTreeSet<(Micros, Due)>,
+    bare: BTreeMap<(ProxyIndex, ClassIndex), Bare>,
+    /// Nodes that have started lately, and those of them that get too much.
+    cold: BTreeMap<NodeIndex, Micros>,
+    overloads: BTreeMap<NodeIndex, Overload>,
+    swept: Micros,
+    cold_swept: Micros,
+    counts: BTreeMap<Rule, u64>,
+    kept: Vec<Violation>,
+}
+
+impl Checker {
+    pub fn new(terms: Terms, conductors: u16, proxies: u16) -> Checker {
+        let conductor = Conductor::new(terms.lines_per_second);
+        let proxy = Proxy {
+            table: ProxyTable::new(terms.policy_most.len()),
+            conductor: None,
+            since: Micros::default(),
+            rate: 0.0,
+            last_message: None,
+            messages: VecDeque::new(),
+        };
+        Checker {
+            terms,
+            conductors: vec![conductor; usize::from(conductors)],
+            proxies: vec![proxy; usize::from(proxies)],
+            dues: BTreeSet::new(),
+            bare: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            overloads: BTreeMap::new(),
+            swept: Micros::default(),
+            cold_swept: Micros::default(),
+            counts: BTreeMap::new(),
+            kept: Vec::new(),
+        }
+    }
+
+    /// How often each rule was broken; rules that were kept are not in it.
+    pub fn counts(&self) -> &BTreeMap<Rule, u64> {
+        &self.counts
+    }
+
+    /// The first breaks of each rule.
+    pub fn violations(&self) -> &[Violation] {
+        &self.kept
+    }
+
+    /// What a proxy holds.
+    pub fn table(&self, proxy: ProxyIndex) -> Option<&ProxyTable> {
+        self.proxies.get(usize::from(proxy.0)).map(|proxy| &proxy.table)
+    }
+
+    /// The most lines that waited in any channel.
+    pub fn peak_lines(&self) -> f64 {
+        self.conductors.iter().map(|conductor| conductor.channel.peak_lines()).fold(0.0, f64::max)
+    }
+
+    fn conductor(&self, conductor: ConductorIndex) -> Option<&Conductor> {
+        self.conductors.get(usize::from(conductor.0))
+    }
+
+    fn conductor_mut(&mut self, conductor: ConductorIndex) -> Option<&mut Conductor> {
+        self.conductors.get_mut(usize::from(conductor.0))
+    }
+
+    fn proxy(&self, proxy: ProxyIndex) -> Option<&Proxy> {
+        self.proxies.get(usize::from(proxy.0))
+    }
+
+    fn proxy_mut(&mut self, proxy: ProxyIndex) -> Option<&mut Proxy> {
+        self.proxies.get_mut(usize::from(proxy.0))
+    }
+
+    fn broken(&mut self, violation: Violation) {
+        let count = self.counts.entry(violation.rule).or_default();
+        *count += 1;
+        if *count <= KEPT_MOST as u64 {
+            self.kept.push(violation);
+        }
+    }
+}
+
+// ---- What is fed in ----
+
+impl Checker {
+    /// A conductor has first answered after its start.
+    pub fn answered(&mut self, now: Micros, conductor: ConductorIndex) {
+        self.advance(now);
+        let begin = now + self.terms.begin;
+        let Some(known) = self.conductor_mut(conductor) else { return };
+        known.begin = Some(begin);
+        let draining = known.draining.clone();
+        let due = begin + self.terms.grace + self.terms.slack;
+        self.dues.extend(draining.into_iter().map(|node| (due, Due::Drain(conductor, node))));
+    }
+
+    /// A conductor has died; the next one of its place has been told nothing.
+    pub fn died(&mut self, now: Micros, conductor: ConductorIndex) {
+        self.advance(now);
+        let fresh = Conductor::new(self.terms.lines_per_second);
+        self.conductor_mut(conductor).into_iter().for_each(|known| *known = fresh.clone());
+    }
+
+    /// A conductor has been told of one node.
+    pub fn told(&mut self, now: Micros, conductor: ConductorIndex, node: NodeIndex, listed: Listed) {
+        self.advance(now);
+        self.take_entry(now, conductor, node, listed);
+        self.refresh_warm(now, conductor);
+    }
+
+    /// A conductor has been told the whole list.
+    pub fn told_all(&mut self, now: Micros, conductor: ConductorIndex, list: &[Listed]) {
+        self.advance(now);
+        for (node, listed) in list.iter().enumerate() {
+            self.take_entry(now, conductor, NodeIndex(node as u32), *listed);
+        }
+        self.refresh_warm(now, conductor);
+    }
+
+    fn take_entry(&mut self, now: Micros, conductor: ConductorIndex, node: NodeIndex, listed: Listed) {
+        let (warm_up, limit) = (self.terms.warm_up, self.terms.grace + self.terms.slack);
+        let Some(known) = self.conductor_mut(conductor) else { return };
+        if known.nodes.get(&node).is_some_and(|told| told.listed == listed) {
+            return;
+        }
+        known.told = now;
+        let old = known.nodes.get(&node).copied();
+        old.iter().for_each(|old| _ = known.ready.remove(&(warm_at(old.listed, warm_up), node)));
+        // One that drained and is gone by now was to be left alone from the first word of it on.
+        let drained = listed.state != NodeState::Active && known.draining.contains(&node);
+        let at = old.filter(|_| drained).map_or(now, |old| old.at);
+        known.nodes.insert(node, Told { listed, at });
+        if listed.state == NodeState::Active {
+            known.draining.remove(&node);
+            known.ready.insert((warm_at(listed, warm_up), node));
+            if let Some(started) = listed.started.filter(|started| *started + warm_up > now) {
+                self.cold.insert(node, started);
+            }
+        } else if known.draining.insert(node) {
+            let due = known.begin.map(|begin| begin.max(now) + limit);
+            self.dues.extend(due.map(|due| (due, Due::Drain(conductor, node))));
+            self.cold.remove(&node);
+            self.overloads.remove(&node);
+        }
+    }
+
+    /// A proxy has joined a conductor; `rate` is what it says of its requests a second.
+    pub fn joined(&mut self, now: Micros, proxy: ProxyIndex, conductor: ConductorIndex, rate: f64) {
+        self.advance(now);
+        let limit = self.terms.grace + self.terms.slack;
+        let Some(known) = self.proxy_mut(proxy) else { return };
+        (known.conductor, known.since, known.rate) = (Some(conductor), now, rate);
+        known.messages.clear();
+        self.dues.insert((now + limit, Due::Joined(proxy)));
+        self.note_bare(now, proxy);
+    }
+
+    /// A proxy's stream is over.
+    pub fn left(&mut self, now: Micros, proxy: ProxyIndex, end: StreamEnd) {
+        self.advance(now);
+        if end == StreamEnd::ByConductor {
+            return;
+        }
+        self.bare.retain(|(bare, _), _| *bare != proxy);
+        if let Some(known) = self.proxy_mut(proxy) {
+            known.conductor = None;
+        }
+    }
+
+    /// A message's last byte has come: it enters the channel. Tells when it will have left that.
+    pub fn entered(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) -> Micros {
+        self.advance(now);
+        let lines = message.lines_counted() as f64 + self.terms.message_head;
+        let Some(conductor) = self.proxy(proxy).and_then(|proxy| proxy.conductor) else { return now };
+        self.count_message(now, conductor, proxy);
+        let most = self.terms.lines_most;
+        let Some(known) = self.conductor_mut(conductor) else { return now };
+        let leaves = known.channel.enter(now, lines);
+        if known.channel.waiting(now) > most {
+            self.broken(Violation { proxy: Some(proxy), ..violation(Rule::Queue, now, conductor) });
+        }
+        leaves
+    }
+
+    fn count_message(&mut self, now: Micros, conductor: ConductorIndex, proxy: ProxyIndex) {
+        let (most, span) = (self.terms.messages_most as usize, self.terms.messages_span);
+        let Some(known) = self.proxy_mut(proxy).filter(|_| most > 0) else { return };
+        known.messages.push_back(now);
+        while known.messages.front().is_some_and(|at| *at + span <= now) {
+            known.messages.pop_front();
+        }
+        if known.messages.len() > most {
+            self.broken(Violation { proxy: Some(proxy), ..violation(Rule::Messages, now, conductor) });
+        }
+    }
+
+    /// A proxy applies a message.
+    pub fn applied(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
+        self.advance(now);
+        self.check_bare(now, proxy);
+        let Some(known) = self.proxy_mut(proxy) else { return };
+        message.parts.iter().for_each(|part| known.table.apply(part));
+        known.last_message = Some(now);
+        self.note_bare(now, proxy);
+        self.check_policies(now, proxy, message);
+        self.check_used_again(now, proxy, message);
+    }
+
+    /// Time has passed; limits that have run out by now are looked at.
+    pub fn advance(&mut self, now: Micros) {
+        while let Some((due, what)) = self.dues.first().copied().filter(|(due, _)| *due < now) {
+            self.dues.remove(&(due, what));
+            self.check_due(due, what);
+        }
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            for conductor in 0..self.conductors.len() {
+                self.refresh_warm(now, ConductorIndex(conductor as u16));
+            }
+            let bare: Vec<ProxyIndex> = self.bare.keys().map(|(proxy, _)| *proxy).collect();
+            bare.into_iter().for_each(|proxy| self.check_bare(now, proxy));
+        }
+        if now >= self.cold_swept + COLD_SWEEP {
+            self.cold_swept = now;
+            self.check_cold(now);
+        }
+    }
+}
+
+/// When a node is warm; from the start where it has not started of late.
+fn warm_at(listed: Listed, warm_up: Micros) -> Micros {
+    listed.started.map_or(Micros::default(), |started| started + warm_up)
+}
+
+fn violation(rule: Rule, at: Micros, conductor: ConductorIndex) -> Violation {
+    Violation { rule, at, conductor: Some(conductor), proxy: None, node: None, class: None }
+}
+
+// ---- Rule 1: nobody without a line ----
+
+impl Checker {
+    fn refresh_warm(&mut self, now: Micros, conductor: ConductorIndex) {
+        let Some(known) = self.conductor_mut(conductor) else { return };
+        let first = known.ready.first().map(|(warm_at, _)| *warm_at).filter(|warm_at| *warm_at <= now);
+        known.warm_since = match first {
+            // It was warm before this was looked at, but not before the list had it.
+            Some(warm_at) => known.warm_since.or(Some(warm_at.max(known.told))),
+            None => None,
+        };
+    }
+
+    /// Keeps which classes of a proxy have no line, and since when.
+    fn note_bare(&mut self, now: Micros, proxy: ProxyIndex) {
+        let Some(known) = self.proxy(proxy).filter(|known| known.conductor.is_some()) else { return };
+        let empty: Vec<(ClassIndex, bool)> =
+            known.table.classes().map(|class| (class, known.table.usable(class) == 0)).collect();
+        for (class, empty) in empty {
+            if empty {
+                self.bare.entry((proxy, class)).or_insert(Bare { since: now, counted: false });
+            } else {
+                self.bare.remove(&(proxy, class));
+            }
+        }
+    }
+
+    fn check_bare(&mut self, now: Micros, proxy: ProxyIndex) {
+        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
+        let Some(known) = self.conductor(conductor) else { return };
+        let (Some(begin), Some(warm)) = (known.begin, known.warm_since) else { return };
+        let limit = self.terms.bare + self.terms.slack;
+        let over = |bare: &Bare| !bare.counted && now > bare.since.max(begin).max(warm) + limit;
+        let classes = (proxy, ClassIndex(0))..=(proxy, ClassIndex(u8::MAX));
+        let found: Vec<ClassIndex> = self
+            .bare
+            .range_mut(classes)
+            .filter_map(|((_, class), bare)| {
+                let over = over(bare);
+                bare.counted |= over;
+                over.then_some(*class)
+            })
+            .collect();
+        for class in found {
+            let (proxy, class) = (Some(proxy), Some(class));
+            self.broken(Violation { proxy, class, ..violation(Rule::WithoutLine, now, conductor) });
+        }
+    }
+}
+
+// ---- Rule 2: no effect twice ----
+
+impl Checker {
+    fn check_policies(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
+        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
+        for part in message.parts.iter().filter(|part| part.policy.is_some()) {
+            for (class, most) in self.terms.policy_most.clone().into_iter().enumerate() {
+                let class = ClassIndex(class as u8);
+                let meant = part.classes.as_ref().is_none_or(|classes| classes.contains(&class));
+                if meant && part.policy.is_some_and(|policy| policy > most) {
+                    let (proxy, class) = (Some(proxy), Some(class));
+                    self.broken(Violation { proxy, class, ..violation(Rule::RunTwice, now, conductor) });
+                }
+            }
+        }
+    }
+}
+
+// ---- Rule 3: drains are kept ----
+
+impl Checker {
+    /// By when a proxy must have stopped to use a node; none where that is not asked of it.
+    fn drain_limit(&self, proxy: &Proxy, node: NodeIndex) -> Option<Micros> {
+        let conductor = self.conductor(proxy.conductor?)?;
+        let told = conductor.nodes.get(&node).filter(|_| conductor.draining.contains(&node))?;
+        Some(told.at.max(proxy.since).max(conductor.begin?) + self.terms.grace + self.terms.slack)
+    }
+
+    fn check_drain(&mut self, now: Micros, proxy: ProxyIndex, node: NodeIndex) {
+        let Some(known) = self.proxy(proxy).filter(|known| known.table.uses(node)) else { return };
+        let Some(conductor) = known.conductor else { return };
+        if self.drain_limit(known, node).is_some_and(|limit| now >= limit) {
+            let (proxy, node) = (Some(proxy), Some(node));
+            self.broken(Violation { proxy, node, ..violation(Rule::Drain, now, conductor) });
+        }
+    }
+
+    fn check_due(&mut self, due: Micros, what: Due) {
+        match what {
+            Due::Drain(conductor, node) => {
+                for proxy in 0..self.proxies.len() {
+                    if self.proxies[proxy].conductor == Some(conductor) {
+                        self.check_drain(due, ProxyIndex(proxy as u16), node);
+                    }
+                }
+            }
+            Due::Joined(proxy) => {
+                let conductor = self.proxy(proxy).and_then(|known| known.conductor);
+                let known = conductor.and_then(|conductor| self.conductor(conductor));
+                // What was told later than it joined has a limit of its own.
+                let since = self.proxy(proxy).map_or(due, |known| known.since);
+                let before = |node: &&NodeIndex| {
+                    known.is_some_and(|known| known.nodes.get(node).is_some_and(|told| told.at <= since))
+                };
+                let draining: Vec<NodeIndex> =
+                    known.into_iter().flat_map(|known| &known.draining).filter(before).copied().collect();
+                draining.into_iter().for_each(|node| self.check_drain(due, proxy, node));
+            }
+        }
+    }
+
+    /// What a message names may not be used again once its limit has passed.
+    fn check_used_again(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
+        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
+        if self.conductor(conductor).is_none_or(|known| known.draining.is_empty()) {
+            return;
+        }
+        for part in &message.parts {
+            let opened = part.lines.iter().filter(|(_, weight)| *weight > 0.0).map(|(node, _)| node);
+            for node in opened.chain(&part.restore) {
+                self.check_drain(now, proxy, *node);
+            }
+        }
+    }
+}
+
+// ---- Rule 4: no cold node is pushed over ----
+
+/// What the proxies bring a cold node, in requests a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct ColdLoad {
+    all: f64,
+    /// From proxies that could know of its start.
+    knowing: f64,
+    /// What a usual warm line of the same proxies brings, which is taken to be all that a warm node can do.
+    usual: f64,
+}
+
+impl Checker {
+    fn check_cold(&mut self, now: Micros) {
+        let warm_up = self.terms.warm_up;
+        self.cold.retain(|_, started| *started + warm_up > now);
+        let cold = self.cold.clone();
+        self.overloads.retain(|node, _| cold.contains_key(node));
+        let loads = self.cold_loads(now, &cold);
+        for (node, load) in loads {
+            let Some(started) = cold.get(&node) else { continue };
+            let done = (now - *started).0 as f64 / warm_up.0.max(1) as f64;
+            // How it gains in between is not told: evenly is assumed.
+            let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * done.min(1.0);
+            let bound = self.terms.fall_multiple * present * load.usual;
+            if load.all <= bound || load.knowing < KNOWING_PART * load.all {
+                self.overloads.remove(&node);
+                continue;
+            }
+            self.overloaded(now, node);
+        }
+    }
+
+    fn overloaded(&mut self, now: Micros, node: NodeIndex) {
+        let overload = self.overloads.entry(node).or_insert(Overload { since: now, counted: false });
+        if !overload.counted && now >= overload.since + self.terms.overload {
+            overload.counted = true;
+            let nobody = Violation {
+                rule: Rule::ColdNode,
+                at: now,
+                conductor: None,
+                proxy: None,
+                node: Some(node),
+                class: None,
+            };
+            self.broken(nobody);
+        }
+    }
+
+    fn cold_loads(&self, now: Micros, cold: &BTreeMap<NodeIndex, Micros>) -> BTreeMap<NodeIndex, ColdLoad> {
+        let mut loads: BTreeMap<NodeIndex, ColdLoad> = BTreeMap::new();
+        for proxy in self.proxies.iter().filter(|proxy| proxy.rate > 0.0) {
+            for class in proxy.table.classes() {
+                let rate = proxy.rate / self.terms.policy_most.len() as f64;
+                let used: Vec<(NodeIndex, f64)> = cold
+                    .keys()
+                    .map(|node| (*node, proxy.table.share(class, *node)))
+                    .filter(|(_, share)| *share > 0.0)
+                    .collect();
+                let cold_share: f64 = used.iter().map(|(_, share)| share).sum();
+                let (usable, warm) =
+                    (proxy.table.usable(class), proxy.table.usable(class).saturating_sub(used.len()));
+                // Where none is warm, all are alike.
+                let usual =
+                    if warm > 0 { (1.0 - cold_share) / warm as f64 } else { 1.0 / usable.max(1) as f64 };
+                for (node, share) in used {
+                    let load = loads.entry(node).or_default();
+                    load.all += rate * share;
+                    load.usual += rate * usual;
+                    if self.could_know(now, proxy, node) {
+                        load.knowing += rate * share;
+                    }
+                }
+            }
+        }
+        loads
+    }
+
+    /// Whether a proxy's last message was sent knowing of a node's start, or its conductor has known for the grace.
+    fn could_know(&self, now: Micros, proxy: &Proxy, node: NodeIndex) -> bool {
+        let told = proxy.conductor.and_then(|conductor| self.conductor(conductor)?.nodes.get(&node));
+        told.is_some_and(|told| {
+            let last = proxy.last_message.is_some_and(|last| last > told.at);
+            last || told.at + self.terms.grace + self.terms.slack <= now
+        })
+    }
+}
--- a/crates/scale/src/core/fleet.rs
+++ b/crates/scale/src/core/fleet.rs
@@ -2,6 +2,7 @@
 //! each change as one line. The whole list is rendered once; later changes are kept as lines behind it.
 
 use std::fmt::Write;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use serde::Serialize;
@@ -64,7 +65,8 @@
 pub struct Snapshot {
     pub version: u64,
     pub document: Bytes,
-    pub listed: Vec<Listed>,
+    /// By node; shared by all who are sent it.
+    pub listed: Rc<[Listed]>,
 }
 
 /// All nodes and what was changed of them.
@@ -81,7 +83,7 @@
 
 impl Fleet {
     pub fn new(plan: &Plan, epoch_ms: u64) -> Fleet {
-        let zones: Vec<String> = (0..plan.zones).map(|zone| zone_name(zone, plan)).collect();
+        let zones = zone_names(plan);
         let listed = Listed { state: NodeState::Active, started: None };
         let node = |node: u32| Node {
             zone: node % plan.zones.max(1),
@@ -89,7 +91,7 @@
             listed,
         };
         let nodes = (0..plan.nodes).map(node).collect();
-        let snapshot = Snapshot { version: 0, document: Bytes::new(), listed: Vec::new() };
+        let snapshot = Snapshot { version: 0, document: Bytes::new(), listed: Rc::from([]) };
         let mut fleet = Fleet { nodes, zones, epoch_ms, version: 1, snapshot, changes: Vec::new() };
         fleet.snapshot = fleet.render();
         fleet
@@ -196,9 +198,11 @@
     format!(r#"{{"rev":{version},"all":{all},"targets":["#)
 }
 
-fn zone_name(zone: u32, plan: &Plan) -> String {
-    let region = u64::from(zone) * u64::from(plan.regions.max(1)) / u64::from(plan.zones.max(1));
-    format!("r{region:02}-z{zone:03}")
+/// The names of a plan's zones, each with its region.
+pub fn zone_names(plan: &Plan) -> Vec<String> {
+    let (regions, zones) = (u64::from(plan.regions.max(1)), u64::from(plan.zones.max(1)));
+    let name = |zone: u64| format!("r{:02}-z{zone:03}", zone * regions / zones);
+    (0..zones).map(name).collect()
 }
 
 /// The name that a node has in the list.
--- a/crates/scale/src/core/mod.rs
+++ b/crates/scale/src/core/mod.rs
@@ -1,11 +1,18 @@
 //! What a scale run knows and works out: the fleet, what proxies hold, the rules, the figures. No I/O, no clock.
 
 pub mod channel;
+pub mod checker;
+pub mod churn;
 pub mod fleet;
+pub mod hollow;
 pub mod ids;
+pub mod message;
 pub mod observer;
 pub mod order;
 pub mod plan;
 pub mod propagation;
 pub mod proxy_table;
 pub mod report;
+pub mod settings;
+pub mod slope;
+pub mod terms;
--- a/crates/scale/src/core/observer.rs
+++ b/crates/scale/src/core/observer.rs
@@ -1,40 +1,16 @@
-//! What all proxies of a run hold and were sent, as seen from their side.
+//! What a run sees of its proxies and conductors: who is bound, what was sent, how long changes take, and the rules.
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
-use super::channel::Channel;
+use super::checker::{Checker, StreamEnd};
 use super::fleet::{Change, NodeState};
 use super::ids::{ConductorIndex, Micros, NodeIndex, ProxyIndex};
-use super::order::Part;
+use super::message::Message;
 use super::propagation::Propagation;
 use super::proxy_table::ProxyTable;
+use super::terms::Terms;
 
-/// A complete message to one proxy.
-#[derive(Clone, Debug)]
-pub struct Message {
-    pub parts: Vec<Rc<Part>>,
-    /// When its last byte came.
-    pub received: Micros,
-}
-
-impl Message {
-    /// Lines that it counts in the channel, without its head.
-    pub fn lines_counted(&self) -> usize {
-        self.parts.iter().map(|part| part.lines_counted()).sum()
-    }
-
-    /// The mark that is to be answered.
-    pub fn mark(&self) -> Option<u64> {
-        self.parts.iter().filter_map(|part| part.mark).next_back()
-    }
-
-    fn is_full(&self) -> bool {
-        self.parts.iter().any(|part| part.full)
-    }
-}
-
-/// What was counted of a stream or of all, each way.
+/// What was counted, each way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Traffic {
     pub bytes_to_proxies: u64,
@@ -47,24 +23,19 @@
 }
 
 /// One proxy as it stands.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Proxy {
-    table: ProxyTable,
-    conductor: Option<ConductorIndex>,
-    /// When it joined, and when it was first sent a whole table after that.
-    joined: Option<Micros>,
-    bound: Option<Micros>,
+    joined: bool,
+    /// It was sent a whole table since it joined.
+    bound: bool,
     /// Neither its times nor its lines are waited for: it is one of those that hang.
     hangs: bool,
 }
 
-/// What a run knows of the proxies and the channels before them.
 #[derive(Clone, Debug)]
 pub struct Observer {
     proxies: Vec<Proxy>,
-    channels: Vec<Channel>,
-    /// Lines that each message costs beside its own.
-    message_head: f64,
+    pub checker: Checker,
     pub propagation: Propagation,
     pub traffic: Traffic,
     /// Streams that a conductor ended, by itself or by its end.
@@ -74,18 +45,10 @@
 }
 
 impl Observer {
-    pub fn new(proxies: u16, classes: usize, channels: Vec<Channel>, message_head: f64) -> Observer {
-        let proxy = Proxy {
-            table: ProxyTable::new(classes),
-            conductor: None,
-            joined: None,
-            bound: None,
-            hangs: false,
-        };
+    pub fn new(terms: Terms, conductors: u16, proxies: u16) -> Observer {
         Observer {
-            proxies: vec![proxy; usize::from(proxies)],
-            channels,
-            message_head,
+            proxies: vec![Proxy::default(); usize::from(proxies)],
+            checker: Checker::new(terms, conductors, proxies),
             propagation: Propagation::default(),
             traffic: Traffic::default(),
             streams_ended: 0,
@@ -93,46 +56,45 @@
         }
     }
 
-    fn proxy(&mut self, proxy: ProxyIndex) -> Option<&mut Proxy> {
-        self.proxies.get_mut(usize::from(proxy.0))
+    pub fn joined(&mut self, now: Micros, proxy: ProxyIndex, conductor: ConductorIndex, rate: f64) {
+        if let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) {
+            *known = Proxy { joined: true, bound: false, hangs: false };
+        }
+        self.checker.joined(now, proxy, conductor, rate);
     }
 
-    pub fn joined(&mut self, now: Micros, proxy: ProxyIndex, conductor: ConductorIndex, hangs: bool) {
-        if let Some(proxy) = self.proxy(proxy) {
-            (proxy.conductor, proxy.joined, proxy.bound) = (Some(conductor), Some(now), None);
-            proxy.hangs = hangs;
+    /// A proxy has joined that neither reads nor answers: no rule holds for it.
+    pub fn hangs(&mut self, proxy: ProxyIndex) {
+        if let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) {
+            *known = Proxy { joined: true, bound: false, hangs: true };
         }
     }
 
-    /// A proxy's stream has ended, by the run's doing or the conductor's: it goes by what it holds until it joins
-    /// again.
-    pub fn left(&mut self, now: Micros, proxy: ProxyIndex, by_run: bool) {
-        self.streams_ended += u64::from(!by_run);
-        if let Some(known) = self.proxy(proxy) {
-            (known.conductor, known.joined, known.bound) = (None, None, None);
+    /// A proxy's stream has ended: it goes by what it holds until it joins again.
+    pub fn left(&mut self, now: Micros, proxy: ProxyIndex, end: StreamEnd) {
+        self.streams_ended += u64::from(end == StreamEnd::ByConductor);
+        if let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) {
+            (known.joined, known.bound) = (false, false);
         }
         self.propagation.leave(now, proxy);
+        self.checker.left(now, proxy, end);
     }
 
-    /// A message's last byte has come: it enters the channel. Tells when it will have left that.
+    /// A message's last byte has come. Tells when it will have left the channel.
     pub fn entered(&mut self, proxy: ProxyIndex, message: &Message) -> Micros {
-        let lines = message.lines_counted() as f64 + self.message_head;
         self.traffic.messages_to_proxies += 1;
         self.traffic.lines_to_proxies += message.lines_counted() as u64;
-        let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) else { return message.received };
-        if message.is_full() && known.bound.is_none() {
-            known.bound = Some(message.received);
+        if let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) {
+            known.bound |= message.is_full();
         }
-        let channel = known.conductor.and_then(|conductor| self.channels.get_mut(usize::from(conductor.0)));
-        channel.map_or(message.received, |channel| channel.enter(message.received, lines))
+        self.checker.entered(message.received, proxy, message)
     }
 
     /// A proxy applies a message, which reached it when that was received.
-    pub fn applied(&mut self, proxy: ProxyIndex, message: &Message) {
-        let Some(known) = self.proxies.get_mut(usize::from(proxy.0)) else { return };
-        message.parts.iter().for_each(|part| known.table.apply(part));
-        let unused: Vec<NodeIndex> =
-            self.propagation.open().filter(|node| !known.table.uses(*node)).collect();
+    pub fn applied(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
+        self.checker.applied(now, proxy, message);
+        let Some(table) = self.checker.table(proxy) else { return };
+        let unused: Vec<NodeIndex> = self.propagation.open().filter(|node| !table.uses(*node)).collect();
         unused.iter().for_each(|node| self.propagation.reached(message.received, *node, proxy));
     }
 
@@ -149,31 +111,27 @@
 
     /// Joined proxies that are waited for and use a node.
     fn users(&self, node: NodeIndex) -> BTreeSet<ProxyIndex> {
-        let uses = |(_, proxy): &(usize, &Proxy)| {
-            !proxy.hangs && proxy.conductor.is_some() && proxy.table.uses(node)
-        };
-        let number = |(number, _): (usize, &Proxy)| ProxyIndex(number as u16);
-        self.proxies.iter().enumerate().filter(uses).map(number).collect()
+        let joined = |(_, proxy): &(ProxyIndex, &Proxy)| proxy.joined && !proxy.hangs;
+        let uses = |proxy: &ProxyIndex| self.table(*proxy).is_some_and(|table| table.uses(node));
+        self.numbered().filter(joined).map(|(proxy, _)| proxy).filter(uses).collect()
     }
 
-    /// Proxies that have no whole table of their stream yet, of those that are waited for.
-    pub fn unbound(&self) -> usize {
-        self.proxies.iter().filter(|proxy| !proxy.hangs && proxy.bound.is_none()).count()
+    fn numbered(&self) -> impl Iterator<Item = (ProxyIndex, &Proxy)> {
+        self.proxies.iter().enumerate().map(|(proxy, known)| (ProxyIndex(proxy as u16), known))
     }
 
-    /// Proxies without a line to pick for some class, of those that are waited for.
-    pub fn without_lines(&self) -> usize {
-        self.proxies.iter().filter(|proxy| !proxy.hangs && !proxy.table.has_lines()).count()
+    fn table(&self, proxy: ProxyIndex) -> Option<&ProxyTable> {
+        self.checker.table(proxy)
     }
 
-    /// When the last proxy was sent its whole table, once all have theirs.
-    pub fn all_bound(&self) -> Option<Micros> {
-        let waited = self.proxies.iter().filter(|proxy| !proxy.hangs);
-        waited.map(|proxy| proxy.bound).collect::<Option<Vec<Micros>>>()?.into_iter().max()
+    /// Proxies that have no whole table of their stream yet, of those that are waited for.
+    pub fn unbound(&self) -> usize {
+        self.proxies.iter().filter(|proxy| !proxy.hangs && !proxy.bound).count()
     }
 
-    /// The most lines that waited in any channel.
-    pub fn peak_lines(&self) -> f64 {
-        self.channels.iter().map(Channel::peak_lines).fold(0.0, f64::max)
+    /// Proxies without a line to pick for some class, of those that are waited for.
+    pub fn without_lines(&self) -> usize {
+        let bare = |proxy: ProxyIndex| self.table(proxy).is_none_or(|table| !table.has_lines());
+        self.numbered().filter(|(proxy, known)| !known.hangs && bare(*proxy)).count()
     }
 }
--- a/crates/scale/src/core/report.rs
+++ b/crates/scale/src/core/report.rs
@@ -1,7 +1,10 @@
 //! The figures of each point, as JSON and as a table.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
+use super::checker::{Rule, Violation};
 use super::plan::Plan;
 use super::propagation::Spread;
 
@@ -52,6 +55,8 @@
     pub change_cores: Option<f64>,
     /// Share of a core over the time of the changes by chance, idle included.
     pub churn_cores: Option<f64>,
+    /// Processor time of the changes by chance without the idle share, by change.
+    pub churn_cpu_ms: Option<f64>,
     pub restart_alive_seconds: Option<f64>,
     pub restart_tables_seconds: Option<f64>,
     pub restart_cpu_seconds: Option<f64>,
@@ -92,6 +97,9 @@
     pub streams_ended: u64,
     pub streams_unusable: u64,
     pub peak_channel_lines: f64,
+    /// How often each rule was broken, and the first breaks.
+    pub rules_broken: BTreeMap<Rule, u64>,
+    pub violations: Vec<Violation>,
     /// Longest time by which the run itself was late: a figure of a late run is no figure of the conductor.
     pub own_lateness_ms: f64,
 }
@@ -206,6 +214,16 @@
         figure: |point| point.conductor.change_cores,
         unit: Unit::Share,
     },
+    Column {
+        heading: "CPU a change by chance",
+        figure: |point| point.conductor.churn_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        unit: Unit::Millis,
+    },
+    Column {
+        heading: "share of a core under changes by chance",
+        figure: |point| point.conductor.churn_cores,
+        unit: Unit::Share,
+    },
     Column {
         heading: "change to last proxy, median",
         figure: |point| spread(point, point.outside.last_proxy.median_ms),
@@ -247,6 +265,11 @@
         figure: |point| Some(point.outside.proxies_without_line as f64),
         unit: Unit::Count,
     },
+    Column {
+        heading: "breaks of rules",
+        figure: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
+        unit: Unit::Count,
+    },
     Column {
         heading: "run late by",
         figure: |point| Some(point.outside.own_lateness_ms),
@@ -264,28 +287,49 @@
     format!("| {} |\n", cells.join(" | "))
 }
 
-/// A row for each point; where two programs were measured at the same point, a row with the ratio follows.
+/// A row for each point; where two programs were measured at the same point, a row with the ratio follows. Columns
+/// without a figure are left out. Below stand the breaks of rules.
 pub fn markdown(points: &[PointReport]) -> String {
-    let fixed = ["program", "nodes", "zones", "proxies", "conductors", "served"].map(String::from);
+    let any = |column: &&Column| points.iter().any(|point| (column.figure)(point).is_some());
+    let columns: Vec<&Column> = COLUMNS.iter().filter(any).collect();
+    let fixed =
+        ["program", "nodes", "zones", "proxies", "conductors", "changes/s", "served"].map(String::from);
     let headings: Vec<String> =
-        fixed.into_iter().chain(COLUMNS.iter().map(|column| column.heading.into())).collect();
+        fixed.into_iter().chain(columns.iter().map(|column| column.heading.into())).collect();
     let mut table = row(headings.iter().cloned());
     table += &row(headings.iter().map(|_| "---".into()));
     for (place, point) in points.iter().enumerate() {
-        table += &point_row(point);
+        table += &point_row(point, &columns);
         let before = place.checked_sub(1).and_then(|place| points.get(place));
         if let Some(before) = before.filter(|before| is_other_program(before, point)) {
-            table += &ratio_row(before, point);
+            table += &ratio_row(before, point, &columns);
+        }
+    }
+    table + &breaks(points)
+}
+
+/// A line for each rule that was broken at a point, with its first break.
+fn breaks(points: &[PointReport]) -> String {
+    let mut lines = String::new();
+    for point in points {
+        let plan = &point.plan;
+        for (rule, count) in &point.outside.rules_broken {
+            let first = point.outside.violations.iter().find(|violation| violation.rule == *rule);
+            let first = first.map(|first| format!("{first:?}")).unwrap_or_default();
+            lines += &format!(
+                "\n- {}, {} nodes, {} zones, {} proxies: {rule:?} broken {count} times; the first: {first}\n",
+                point.program, plan.nodes, plan.zones, plan.proxies
+            );
         }
     }
-    table
+    lines
 }
 
 fn is_other_program(before: &PointReport, point: &PointReport) -> bool {
     before.plan == point.plan && before.program != point.program
 }
 
-fn point_row(point: &PointReport) -> String {
+fn point_row(point: &PointReport, columns: &[&Column]) -> String {
     let plan = &point.plan;
     let counts = [plan.nodes, plan.zones, plan.proxies.into(), plan.conductors.into()];
     let fixed = [point.program.clone()].into_iter().chain(counts.iter().map(u32::to_string));
@@ -297,17 +341,17 @@
         Outcome::Served if point.conductor.is_full_at_rest() => "yes, with a core full at rest",
         outcome => outcome.words(),
     };
-    row(fixed.chain([served.into()]).chain(COLUMNS.iter().map(cell)))
+    row(fixed.chain([served.into()]).chain(columns.iter().map(|column| cell(column))))
 }
 
 /// The first program's figure over the second's.
-fn ratio_row(first: &PointReport, second: &PointReport) -> String {
+fn ratio_row(first: &PointReport, second: &PointReport, columns: &[&Column]) -> String {
     let cell = |column: &Column| match ((column.figure)(first), (column.figure)(second)) {
         (Some(first), Some(second)) if first > 0.0 && second > 0.0 => {
             format!("x {}", significant(first / second))
         }
         _ => String::new(),
     };
-    let fixed = std::iter::once("first over second".to_string()).chain((0..5).map(|_| String::new()));
-    row(fixed.chain(COLUMNS.iter().map(cell)))
+    let fixed = std::iter::once("first over second".to_string()).chain((0..6).map(|_| String::new()));
+    row(fixed.chain(columns.iter().map(|column| cell(column))))
 }
--- /dev/null
+++ b/crates/scale/src/core/settings.rs
@@ -0,0 +1,33 @@
+//! The settings that all conductors of a point are given: the stand-ins' own, with the point's zones and a channel that
+//! holds up nobody.
+
+use anyhow::Result;
+use oatpitch::interface::Mandate;
+use serde_json::{Value, json};
+
+use super::fleet::zone_names;
+use super::ids::Micros;
+use super::plan::Plan;
+
+/// Names of the classes, in the order of the settings.
+pub const CLASSES: [&str; 2] = ["quote", "advance"];
+/// A message's way from the channel to its proxy.
+pub const WAY: Micros = Micros::from_millis(200);
+/// Lines a second of a channel that holds up nobody, and lines that may wait in it.
+const CHANNEL_LINES_PER_SECOND: f64 = 1e9;
+const CHANNEL_LINES_MOST: f64 = 1e10;
+
+pub fn settings(plan: &Plan) -> Value {
+    let mut settings = oatpitch_standins::conductor::settings(plan.proxies.into());
+    settings["azs"] = json!(zone_names(plan));
+    let specifics = &mut settings["specifics"];
+    specifics["egress_per_s"] = json!(CHANNEL_LINES_PER_SECOND);
+    specifics["pending_max"] = json!(CHANNEL_LINES_MOST);
+    specifics["push_delay_us"] = json!(WAY.0);
+    settings
+}
+
+/// The same settings as a conductor reads them.
+pub fn mandate(plan: &Plan) -> Result<Mandate> {
+    Ok(oatpitch_mandate::from_json(&settings(plan))?.mandate)
+}
--- /dev/null
+++ b/crates/scale/src/core/slope.rs
@@ -0,0 +1,59 @@
+//! The exponent that a figure grows by: least squares on the logarithms of both sides.
+
+use serde::Serialize;
+
+/// Fewer points than this tell no slope.
+const POINTS_LEAST: usize = 3;
+
+/// How a figure grows with what was varied: `figure = factor * size ^ exponent`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Slope {
+    pub exponent: f64,
+    pub factor: f64,
+    /// Part of the variation that the line explains, 0 to 1.
+    pub fit: f64,
+    pub points: usize,
+    pub smallest: f64,
+    pub largest: f64,
+}
+
+impl Slope {
+    /// Through points of a size and its figure; sizes and figures that are not above 0 are left out, as they have no
+    /// logarithm.
+    pub fn through(points: &[(f64, f64)]) -> Option<Slope> {
+        let logs: Vec<(f64, f64)> = points
+            .iter()
+            .filter(|(size, figure)| *size > 0.0 && *figure > 0.0)
+            .map(|(size, figure)| (size.ln(), figure.ln()))
+            .collect();
+        let count = logs.len() as f64;
+        let mean = |side: fn(&(f64, f64)) -> f64| logs.iter().map(side).sum::<f64>() / count;
+        let (mean_size, mean_figure) = (mean(|point| point.0), mean(|point| point.1));
+        let sum = |term: &dyn Fn(f64, f64) -> f64| -> f64 {
+            logs.iter().map(|(size, figure)| term(size - mean_size, figure - mean_figure)).sum()
+        };
+        let (sizes, figures) = (sum(&|size, _| size * size), sum(&|_, figure| figure * figure));
+        let both = sum(&|size, figure| size * figure);
+        if logs.len() < POINTS_LEAST || sizes == 0.0 {
+            return None;
+        }
+        let exponent = both / sizes;
+        let fit = if figures == 0.0 { 1.0 } else { both * both / (sizes * figures) };
+        let edge = |pick: fn(f64, f64) -> f64, start: f64| {
+            logs.iter().map(|(size, _)| *size).fold(start, pick).exp()
+        };
+        Some(Slope {
+            exponent,
+            factor: (mean_figure - exponent * mean_size).exp(),
+            fit,
+            points: logs.len(),
+            smallest: edge(f64::min, f64::INFINITY),
+            largest: edge(f64::max, f64::NEG_INFINITY),
+        })
+    }
+
+    /// The figure at a size, inside the measured range or beyond it.
+    pub fn at(&self, size: f64) -> f64 {
+        self.factor * size.powf(self.exponent)
+    }
+}
--- a/crates/scale/src/net/conductor.rs
+++ b/crates/scale/src/net/conductor.rs
@@ -8,14 +8,15 @@
 
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
-use oatpitch_standins::conductor::{config, settings};
+use oatpitch_standins::conductor::config;
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::proc_fs::{self, Resident};
-use super::world::{CHANNEL_LINES_MOST, CHANNEL_LINES_PER_SECOND, MESSAGE_HEAD, WAY, World};
+use super::world::World;
+use crate::core::settings::settings;
 
 /// Descriptors of a conductor beside those of its proxies.
 const SOCKETS_BESIDE: u32 = 128;
@@ -39,14 +40,7 @@
     let mut config = config(name, listen, discovery, plan.proxies.into());
     let sockets = (u32::from(plan.proxies) + SOCKETS_BESIDE).max(SOCKETS_LEAST);
     config["limits"] = json!({"memory_mb": plan.memory_mb, "sockets": sockets});
-    let mut settings = settings(plan.proxies.into());
-    settings["azs"] = json!(world.fleet.borrow().zones());
-    let specifics = &mut settings["specifics"];
-    specifics["egress_per_s"] = json!(CHANNEL_LINES_PER_SECOND);
-    specifics["pending_max"] = json!(CHANNEL_LINES_MOST);
-    specifics["head"] = json!(MESSAGE_HEAD);
-    specifics["push_delay_us"] = json!(WAY.as_micros() as u64);
-    config["settings"] = settings;
+    config["settings"] = settings(plan);
     config
 }
 
--- a/crates/scale/src/net/discovery.rs
+++ b/crates/scale/src/net/discovery.rs
@@ -10,28 +10,28 @@
 use tokio::task::spawn_local;
 
 use super::world::World;
+use crate::core::ids::ConductorIndex;
 
 /// How often a watch shows that it lives while nothing changes.
 const BEAT: Duration = Duration::from_secs(2);
-/// Longest line of a request.
 const PATH: &str = "/catalog/members";
 
 /// Answers who asks, until it is dropped.
-pub async fn serve(world: Rc<World>, listener: TcpListener) {
+pub async fn serve(world: Rc<World>, conductor: ConductorIndex, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let world = world.clone();
         // Who has gone away needs no answer.
-        spawn_local(async move { _ = answer(&world, stream).await });
+        spawn_local(async move { _ = answer(&world, conductor, stream).await });
     }
 }
 
-async fn answer(world: &World, stream: TcpStream) -> std::io::Result<()> {
+async fn answer(world: &World, conductor: ConductorIndex, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = BufReader::new(stream);
     let path = request_path(&mut stream).await?;
     match path.strip_prefix(PATH) {
-        Some("") => whole(world, &mut stream).await,
-        Some(query) => follow(world, &mut stream, since(query)).await,
+        Some("") => whole(world, conductor, &mut stream).await,
+        Some(query) => follow(world, conductor, &mut stream, since(query)).await,
         None => stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await,
     }
 }
@@ -55,28 +55,41 @@
     fields.filter_map(|field| field.strip_prefix("since=")?.parse().ok()).next().unwrap_or_default()
 }
 
-async fn whole(world: &World, stream: &mut BufReader<TcpStream>) -> std::io::Result<()> {
-    let document = world.fleet.borrow_mut().current().document.clone();
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", document.len());
+async fn whole(
+    world: &World,
+    conductor: ConductorIndex,
+    stream: &mut BufReader<TcpStream>,
+) -> std::io::Result<()> {
+    let snapshot = world.fleet.borrow_mut().current().clone();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", snapshot.document.len());
     stream.write_all(head.as_bytes()).await?;
-    stream.write_all(&document).await?;
-    count(world, document.len(), 1);
+    stream.write_all(&snapshot.document).await?;
+    count(world, snapshot.document.len());
+    world.told_all(conductor, &snapshot.listed);
     Ok(())
 }
 
-async fn follow(world: &World, stream: &mut BufReader<TcpStream>, since: u64) -> std::io::Result<()> {
+async fn follow(
+    world: &World,
+    conductor: ConductorIndex,
+    stream: &mut BufReader<TcpStream>,
+    since: u64,
+) -> std::io::Result<()> {
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     let mut version = since;
     if since == 0 || !world.fleet.borrow().knows(since) {
         let snapshot = world.fleet.borrow().snapshot().clone();
         version = snapshot.version;
         write_line(world, stream, snapshot.document).await?;
+        world.told_all(conductor, &snapshot.listed);
     }
     let mut revised = world.version.subscribe();
     loop {
-        for (next, line) in lines_after(world, version) {
-            write_line(world, stream, line).await?;
-            version = next;
+        let news = world.fleet.borrow().changes_after(version).to_vec();
+        for told in news {
+            write_line(world, stream, told.line).await?;
+            version = told.version;
+            world.told(conductor, told.change);
         }
         match tokio::time::timeout(BEAT, revised.changed()).await {
             Ok(Ok(())) => {}
@@ -86,23 +99,19 @@
     }
 }
 
-fn lines_after(world: &World, version: u64) -> Vec<(u64, Bytes)> {
-    let fleet = world.fleet.borrow();
-    fleet.changes_after(version).iter().map(|told| (told.version, told.line.clone())).collect()
-}
-
 /// One line of a watch, as a chunk.
 async fn write_line(world: &World, stream: &mut BufReader<TcpStream>, line: Bytes) -> std::io::Result<()> {
     let head = format!("{:x}\r\n", line.len() + 1);
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(&line).await?;
     stream.write_all(b"\n\r\n").await?;
-    count(world, line.len(), 1);
+    count(world, line.len());
     Ok(())
 }
 
-fn count(world: &World, bytes: usize, documents: u64) {
+/// One document has been written.
+fn count(world: &World, bytes: usize) {
     let traffic = &mut world.observer.borrow_mut().traffic;
     traffic.bytes_from_discovery += bytes as u64;
-    traffic.documents_from_discovery += documents;
+    traffic.documents_from_discovery += 1;
 }
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -17,10 +17,13 @@
 use super::lateness::Lateness;
 use super::proxy::{self, Behaviour, Proxy};
 use super::world::World;
+use crate::core::churn::Churn;
 use crate::core::fleet::{Change, Listed, NodeState};
-use crate::core::ids::{ConductorIndex, NodeIndex, ProxyIndex};
+use crate::core::ids::{ConductorIndex, Micros, NodeIndex, ProxyIndex};
 use crate::core::plan::Plan;
 use crate::core::report::{Outcome, PointReport};
+use crate::core::settings::mandate;
+use crate::core::terms::Terms;
 
 /// Share of the time that the joining may take, so that what does not serve is still measured at rest.
 const JOINING_SHARE: f64 = 0.6;
@@ -28,6 +31,7 @@
 const LAST_CHANGES: Duration = Duration::from_secs(5);
 const CHANGES_TAIL: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(5);
+const MS_PER_SECOND: f64 = 1e3;
 
 /// Measures one program at one point; whatever happens, a report comes within the point's time.
 pub fn measure(program: &Path, plan: &Plan, progress: impl Fn(&str) + 'static) -> PointReport {
@@ -78,14 +82,14 @@
         report: Rc<RefCell<PointReport>>,
         progress: Box<dyn Fn(&str)>,
     ) -> Result<Point<'a>> {
-        let world = Rc::new(World::new(plan));
+        let world = Rc::new(World::new(plan, Terms::of(&mandate(plan)?)));
         let (mut tasks, lateness) = (JoinSet::new(), Lateness::default());
         tasks.spawn_local(lateness.clone().watch());
         let mut discoveries = Vec::new();
-        for _ in 0..plan.conductors {
+        for conductor in 0..plan.conductors {
             let listener = TcpListener::bind("127.0.0.1:0").await.context("discovery")?;
             discoveries.push(listener.local_addr()?);
-            tasks.spawn_local(discovery::serve(world.clone(), listener));
+            tasks.spawn_local(discovery::serve(world.clone(), ConductorIndex(conductor), listener));
         }
         let listens = (0..plan.conductors).map(|_| free_port()).collect();
         let conductors = Vec::new();
@@ -107,6 +111,9 @@
         if self.world.plan.drains > 0 {
             self.drain(idle).await;
         }
+        if self.world.plan.churn_per_second > 0.0 {
+            self.churn().await;
+        }
         if self.world.plan.restart {
             self.restart().await?;
         }
@@ -128,10 +135,15 @@
     }
 
     fn start(&mut self, again: bool) -> Result<()> {
-        let known = again.then(|| self.world.fleet.borrow_mut().current().document.clone());
+        let known = again.then(|| self.world.fleet.borrow_mut().current().clone());
         for (number, (listen, discovery)) in self.listens.iter().zip(&self.discoveries).enumerate() {
             let config = configuration(&self.world, &format!("n{number}"), *listen, *discovery);
-            self.conductors.push(Conductor::start(self.program, &config, known.clone())?);
+            if let Some(known) = &known {
+                // It goes by what it is given before it is told anything.
+                self.world.told_all(ConductorIndex(number as u16), &known.listed);
+            }
+            let known = known.as_ref().map(|known| known.document.clone());
+            self.conductors.push(Conductor::start(self.program, &config, known)?);
         }
         Ok(())
     }
@@ -139,8 +151,9 @@
     /// Seconds until the last conductor has given a sign of life.
     async fn until_alive(&mut self) -> Result<f64> {
         let mut longest = 0.0_f64;
-        for (conductor, listen) in self.conductors.iter_mut().zip(&self.listens) {
+        for (number, (conductor, listen)) in self.conductors.iter_mut().zip(&self.listens).enumerate() {
             longest = longest.max(until_alive(conductor, *listen).await?.as_secs_f64());
+            self.world.answered(ConductorIndex(number as u16));
         }
         Ok(longest)
     }
@@ -194,6 +207,8 @@
         let plan = self.world.plan.clone();
         let settle = Duration::from_secs_f64(plan.settle_seconds);
         tokio::time::sleep(settle).await;
+        // What the run takes in at joining is not what it is measured by.
+        self.lateness.reset();
         let (joined_cpu, at) = (self.cpu(), Instant::now());
         self.count_joining();
         tokio::time::sleep(Duration::from_secs_f64(plan.idle_seconds)).await;
@@ -216,7 +231,6 @@
     async fn drain(&mut self, idle: f64) {
         self.tell("draining");
         let plan = self.world.plan.clone();
-        self.lateness.reset();
         let (before, began) = (self.cpu(), Instant::now());
         for drain in 0..plan.drains {
             let due = began + Duration::from_secs_f64(f64::from(drain) / plan.drains_per_second);
@@ -225,26 +239,56 @@
             let listed = Listed { state: NodeState::Leaving, started: None };
             self.world.change(Change { node, listed });
         }
-        let longest = Instant::now() + LAST_CHANGES;
-        while self.world.observer.borrow().propagation.open().next().is_some() && Instant::now() < longest {
-            tokio::time::sleep(PAUSE).await;
-        }
+        self.until_reached().await;
         tokio::time::sleep(CHANGES_TAIL).await;
         let (spent, seconds) = (self.cpu() - before, began.elapsed().as_secs_f64());
-        const MS_PER_SECOND: f64 = 1e3;
         let each = (spent - idle * seconds).max(0.0) * MS_PER_SECOND / f64::from(plan.drains);
         let mut report = self.report.borrow_mut();
         report.conductor.change_cores = Some(spent / seconds);
         report.conductor.change_cpu_ms = Some(each);
-        report.outside.own_lateness_ms = self.lateness.longest().as_secs_f64() * MS_PER_SECOND;
+    }
+
+    /// Nodes restart, drain and fail by chance, and come back.
+    async fn churn(&mut self) {
+        let plan = self.world.plan.clone();
+        self.tell(&format!("{} changes a second", plan.churn_per_second));
+        let (before, began) = (self.cpu(), Instant::now());
+        let until = self.world.now() + Micros::from_seconds(plan.churn_seconds);
+        let mut churn = Churn::new(plan.seed, plan.churn_per_second, self.world.now());
+        let mut count = 0_u32;
+        while churn.due() < until {
+            tokio::time::sleep_until(self.world.instant(churn.due())).await;
+            let change = churn.next(self.world.now(), &self.world.fleet.borrow());
+            count += u32::from(change.is_some());
+            change.into_iter().for_each(|change| self.world.change(change));
+        }
+        let (spent, seconds) = (self.cpu() - before, began.elapsed().as_secs_f64());
+        {
+            let mut report = self.report.borrow_mut();
+            let idle = report.conductor.idle_cores.unwrap_or_default();
+            let each = (spent - idle * seconds).max(0.0) * MS_PER_SECOND / f64::from(count.max(1));
+            report.conductor.churn_cores = Some(spent / seconds);
+            report.conductor.churn_cpu_ms = Some(each);
+        }
+        self.until_reached().await;
+    }
+
+    /// Waits until all changes have reached all proxies, or for as long as they may take.
+    async fn until_reached(&self) {
+        let longest = Instant::now() + LAST_CHANGES;
+        while self.world.observer.borrow().propagation.open().next().is_some() && Instant::now() < longest {
+            tokio::time::sleep(PAUSE).await;
+        }
     }
 
     /// All conductors are killed and started again, with the list they had as their known one.
     async fn restart(&mut self) -> Result<()> {
         self.tell("starting again");
         self.keep_memory();
+        self.keep_lateness();
         self.world.killing.set(true);
         self.conductors.clear();
+        (0..self.world.plan.conductors).for_each(|conductor| self.world.died(ConductorIndex(conductor)));
         let killed = Instant::now();
         self.start(true)?;
         let alive = self.until_alive().await?;
@@ -265,6 +309,15 @@
         total / self.conductors.len().max(1) as f64
     }
 
+    /// Keeps how late the run itself was, once: joining anew is not counted either.
+    fn keep_lateness(&self) {
+        let longest = self.lateness.longest().as_secs_f64() * MS_PER_SECOND;
+        let mut report = self.report.borrow_mut();
+        if report.outside.own_lateness_ms == 0.0 {
+            report.outside.own_lateness_ms = longest;
+        }
+    }
+
     /// Keeps the most memory that any conductor held.
     fn keep_memory(&self) {
         let mut report = self.report.borrow_mut();
@@ -277,6 +330,7 @@
     /// Ends all, and counts what was seen.
     fn close(mut self) {
         self.keep_memory();
+        self.keep_lateness();
         let mut report = self.report.borrow_mut();
         if self.conductors.iter_mut().any(Conductor::has_ended) {
             report.outcome = Outcome::Ended;
@@ -303,6 +357,8 @@
         outside.proxies_without_line = observer.without_lines();
         outside.streams_ended = observer.streams_ended;
         outside.streams_unusable = observer.streams_unusable;
-        outside.peak_channel_lines = observer.peak_lines();
+        outside.peak_channel_lines = observer.checker.peak_lines();
+        outside.rules_broken = observer.checker.counts().clone();
+        outside.violations = observer.checker.violations().to_vec();
     }
 }
--- a/crates/scale/src/net/proxy.rs
+++ b/crates/scale/src/net/proxy.rs
@@ -11,15 +11,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::world::{WAY, World};
+use super::world::World;
 use crate::core::ids::{ConductorIndex, Micros, ProxyIndex};
-use crate::core::observer::Message;
-use crate::core::order::Unusable;
+use crate::core::message::Message;
+use crate::core::order::{Part, Unusable};
+use crate::core::settings::WAY;
 
 /// Longest line on a stream, in bytes, as the protocol has it.
 const LINE_LONGEST: usize = 1 << 20;
 /// What a proxy says of its requests a second.
-const REQUESTS_PER_SECOND: f64 = 20.0;
+pub const REQUESTS_PER_SECOND: f64 = 20.0;
 /// Wait before a broken stream is dialled again, from the first to the second, by the proxy's number.
 const REDIAL: Duration = Duration::from_millis(100);
 const REDIAL_SPREAD: u64 = 300;
@@ -117,7 +118,7 @@
     stream: TcpStream,
     lines: Lines,
     /// Parts of the message that is not complete yet.
-    parts: Vec<Rc<crate::core::order::Part>>,
+    parts: Vec<Rc<Part>>,
 }
 
 impl Stream<'_> {
@@ -154,14 +155,14 @@
             if ends {
                 let message = Message { parts: std::mem::take(&mut self.parts), received: self.world.now() };
                 let leaves = self.world.observer.borrow_mut().entered(self.proxy.index, &message);
-                travelling.push_back((leaves + Micros(WAY.as_micros() as u64), message));
+                travelling.push_back((leaves + WAY, message));
             }
         }
         Ok(())
     }
 
     async fn apply(&mut self, at: Micros, message: &Message) -> Result<(), Broken> {
-        self.world.observer.borrow_mut().applied(self.proxy.index, message);
+        self.world.observer.borrow_mut().applied(self.world.now(), self.proxy.index, message);
         let answers = self.proxy.behaviour == Behaviour::Answers;
         if let Some(mark) = message.mark().filter(|_| answers) {
             const MICROS_PER_MS: f64 = 1e3;
--- a/crates/scale/src/net/world.rs
+++ b/crates/scale/src/net/world.rs
@@ -6,23 +6,15 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::proxy::{Behaviour, Proxy};
-use crate::core::channel::Channel;
-use crate::core::fleet::{Change, Fleet};
-use crate::core::ids::{Micros, ProxyIndex};
+use super::proxy::{Behaviour, Proxy, REQUESTS_PER_SECOND};
+use crate::core::checker::StreamEnd;
+use crate::core::fleet::{Change, Fleet, Listed};
+use crate::core::ids::{ConductorIndex, Micros, ProxyIndex};
 use crate::core::observer::Observer;
 use crate::core::order::Decoder;
 use crate::core::plan::Plan;
-
-/// Names of the classes in the settings of every run.
-pub const CLASSES: [&str; 2] = ["quote", "advance"];
-/// Lines a second of a channel that holds up nobody, and lines that may wait in it.
-pub const CHANNEL_LINES_PER_SECOND: f64 = 1e9;
-pub const CHANNEL_LINES_MOST: f64 = 1e10;
-/// Lines that each message costs beside its own.
-pub const MESSAGE_HEAD: f64 = 6.0;
-/// A message's way from the channel to its proxy.
-pub const WAY: Duration = Duration::from_millis(200);
+use crate::core::settings::CLASSES;
+use crate::core::terms::Terms;
 
 pub struct World {
     pub plan: Plan,
@@ -37,17 +29,17 @@
 }
 
 impl World {
-    pub fn new(plan: &Plan) -> World {
+    /// The clock starts now. `terms` are those of the settings that the conductors are given.
+    pub fn new(plan: &Plan, terms: Terms) -> World {
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let fleet = Fleet::new(plan, epoch.as_millis() as u64);
-        let channels = vec![Channel::new(CHANNEL_LINES_PER_SECOND); usize::from(plan.conductors)];
         let classes = CLASSES.map(String::from).to_vec();
         World {
             plan: plan.clone(),
             start: Instant::now(),
             version: watch::Sender::new(fleet.version()),
             fleet: RefCell::new(fleet),
-            observer: RefCell::new(Observer::new(plan.proxies, classes.len(), channels, MESSAGE_HEAD)),
+            observer: RefCell::new(Observer::new(terms, plan.conductors, plan.proxies)),
             decoder: RefCell::new(Decoder::new(classes, plan.nodes)),
             killing: Cell::new(false),
         }
@@ -71,13 +63,40 @@
 }
 
 impl World {
+    /// A conductor has first answered after its start.
+    pub fn answered(&self, conductor: ConductorIndex) {
+        self.observer.borrow_mut().checker.answered(self.now(), conductor);
+    }
+
+    /// A conductor has been killed.
+    pub fn died(&self, conductor: ConductorIndex) {
+        self.observer.borrow_mut().checker.died(self.now(), conductor);
+    }
+
+    /// Discovery has written one change to a conductor.
+    pub fn told(&self, conductor: ConductorIndex, change: Change) {
+        let checker = &mut self.observer.borrow_mut().checker;
+        checker.told(self.now(), conductor, change.node, change.listed);
+    }
+
+    /// Discovery has written its whole list to a conductor.
+    pub fn told_all(&self, conductor: ConductorIndex, list: &[Listed]) {
+        self.observer.borrow_mut().checker.told_all(self.now(), conductor, list);
+    }
+
     pub fn joined(&self, proxy: Proxy) {
-        let hangs = proxy.behaviour == Behaviour::Hangs;
-        self.observer.borrow_mut().joined(self.now(), proxy.index, proxy.conductor, hangs);
+        let mut observer = self.observer.borrow_mut();
+        match proxy.behaviour {
+            Behaviour::Hangs => observer.hangs(proxy.index),
+            Behaviour::Answers | Behaviour::Mute => {
+                observer.joined(self.now(), proxy.index, proxy.conductor, REQUESTS_PER_SECOND);
+            }
+        }
     }
 
     /// A proxy's stream has ended.
     pub fn left(&self, proxy: ProxyIndex) {
-        self.observer.borrow_mut().left(self.now(), proxy, self.killing.get());
+        let end = if self.killing.get() { StreamEnd::Broken } else { StreamEnd::ByConductor };
+        self.observer.borrow_mut().left(self.now(), proxy, end);
     }
 }
--- /dev/null
+++ b/crates/scale/tests/core.rs
@@ -0,0 +1,181 @@
+//! The parts that know and work out: the list, orders as read, tables, times of changes, slopes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use oatpitch_scale::core::churn::Churn;
+use oatpitch_scale::core::fleet::{Change, Fleet, Listed, NodeState, node_name, node_of};
+use oatpitch_scale::core::ids::{ClassIndex, Micros, NodeIndex, ProxyIndex};
+use oatpitch_scale::core::order::{Decoder, Unusable, decode};
+use oatpitch_scale::core::plan::Plan;
+use oatpitch_scale::core::propagation::Propagation;
+use oatpitch_scale::core::proxy_table::ProxyTable;
+use oatpitch_scale::core::slope::Slope;
+use serde_json::Value;
+
+const EPOCH_MS: u64 = 1_700_000_000_000;
+const LEAVING: Listed = Listed { state: NodeState::Leaving, started: None };
+
+fn classes() -> Vec<String> {
+    ["quote", "advance"].map(String::from).to_vec()
+}
+
+fn parse(document: &[u8]) -> Value {
+    serde_json::from_slice(document).expect("JSON")
+}
+
+#[test]
+fn the_whole_list_and_a_change_are_as_the_protocol_has_them() {
+    let mut fleet = Fleet::new(&Plan { nodes: 3, zones: 2, ..Plan::default() }, EPOCH_MS);
+    let list = parse(&fleet.snapshot().document);
+    assert_eq!((&list["rev"], &list["all"]), (&1.into(), &true.into()));
+    assert_eq!(list["targets"].as_array().map(Vec::len), Some(3));
+    let expected = serde_json::json!({"uid": "s-00000001", "endpoint": "10.0.0.1:7070", "az": "r00-z001",
+        "model": "m1", "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0});
+    assert_eq!(list["targets"][1], expected);
+    let started = Some(Micros::from_millis(1_500));
+    fleet.apply(Change { node: NodeIndex(1), listed: Listed { state: NodeState::Active, started } });
+    fleet.apply(Change { node: NodeIndex(2), listed: LEAVING });
+    let changes = fleet.changes_after(1);
+    let told: Vec<Value> = changes.iter().map(|told| parse(&told.line)).collect();
+    assert_eq!((&told[0]["rev"], &told[0]["all"], &told[1]["rev"]), (&2.into(), &false.into(), &3.into()));
+    assert_eq!(told[0]["targets"][0]["boot_ms"], EPOCH_MS + 1_500);
+    assert_eq!(told[1]["targets"][0]["state"], "leaving");
+    assert_eq!(
+        (fleet.changes_after(2).len(), fleet.knows(2), fleet.knows(1), fleet.knows(9)),
+        (1, true, true, false)
+    );
+}
+
+#[test]
+fn the_whole_list_is_rendered_anew_only_when_it_is_asked_for_after_a_change() {
+    let mut fleet = Fleet::new(&Plan { nodes: 3, ..Plan::default() }, EPOCH_MS);
+    let first = fleet.current().document.clone();
+    assert_eq!(fleet.current().document.as_ptr(), first.as_ptr());
+    fleet.apply(Change { node: NodeIndex(0), listed: LEAVING });
+    assert_eq!(fleet.snapshot().document, first);
+    assert_eq!(parse(&fleet.current().document)["targets"][0]["state"], "leaving");
+}
+
+#[test]
+fn names_lead_back_to_their_nodes() {
+    for node in [0, 7, 65_999, u32::MAX] {
+        assert_eq!(node_of(&node_name(NodeIndex(node))), Some(NodeIndex(node)));
+    }
+    assert_eq!(["", "s-1", "x-00000001", "s-0000000g"].map(node_of), [None; 4]);
+}
+
+#[test]
+fn an_order_is_decoded_once_and_what_cannot_be_used_is_told() {
+    let line = br#"{"t":"push","routes":["advance"],"full":true,"endpoints":[["s-00000001",1.5]],"admit":0.9,
+        "policy":1,"eject":["s-00000002"],"restore":["s-00000000"],"nonce_out":9,"continued":true}"#;
+    let part = decode(line, &classes(), 3).expect("an order");
+    assert_eq!(part.classes, Some(vec![ClassIndex(1)]));
+    assert_eq!((part.full, part.lines.as_slice()), (true, &[(NodeIndex(1), 1.5)][..]));
+    assert_eq!((part.policy, part.mark, part.continued), (Some(1), Some(9), true));
+    assert_eq!(part.lines_counted(), 6);
+    for (line, expected) in [
+        (r#"{"t":"alive"}"#, Unusable::NoPush),
+        ("{", Unusable::NoPush),
+        (r#"{"t":"push","routes":["x"]}"#, Unusable::UnknownClass),
+        (r#"{"t":"push","eject":["s-00000003"]}"#, Unusable::UnknownNode),
+        (r#"{"t":"push","endpoints":[["s-00000001",-1]]}"#, Unusable::BelowZero),
+        (r#"{"t":"push","admit":1,"policy":4}"#, Unusable::BelowZero),
+    ] {
+        assert_eq!(decode(line.as_bytes(), &classes(), 3), Err(expected), "{line}");
+    }
+    let long = format!(r#"{{"t":"push","eject":[{}]}}"#, vec![r#""s-00000001""#; 500].join(","));
+    let mut decoder = Decoder::new(classes(), 3);
+    let (first, second) = (decoder.decode(Bytes::from(long.clone())), decoder.decode(Bytes::from(long)));
+    let (first, second) = (first.expect("an order"), second.expect("an order"));
+    assert!(std::rc::Rc::ptr_eq(&first, &second));
+}
+
+#[test]
+fn a_table_follows_its_orders() {
+    let mut table = ProxyTable::new(2);
+    let node = NodeIndex;
+    let apply = |table: &mut ProxyTable, line: &str| {
+        table.apply(&decode(line.as_bytes(), &classes(), 9).expect("an order"));
+    };
+    assert!(!table.has_lines());
+    apply(
+        &mut table,
+        r#"{"t":"push","full":true,"endpoints":[["s-00000001",1],["s-00000002",3]],"admit":1,"policy":1}"#,
+    );
+    assert!(table.has_lines() && table.uses(node(1)));
+    assert_eq!((table.share(ClassIndex(1), node(2)), table.policy(ClassIndex(0))), (0.75, Some(1)));
+    apply(&mut table, r#"{"t":"push","eject":["s-00000002"]}"#);
+    assert_eq!((table.share(ClassIndex(0), node(1)), table.uses(node(2))), (1.0, false));
+    // What is shut out stays so when its line comes anew.
+    apply(&mut table, r#"{"t":"push","routes":["quote"],"endpoints":[["s-00000001",0],["s-00000002",2]]}"#);
+    assert_eq!((table.usable(ClassIndex(0)), table.usable(ClassIndex(1))), (0, 1));
+    apply(&mut table, r#"{"t":"push","restore":["s-00000002"]}"#);
+    assert_eq!((table.share(ClassIndex(0), node(2)), table.share(ClassIndex(1), node(2))), (1.0, 0.75));
+    apply(&mut table, r#"{"t":"push","full":true,"endpoints":[]}"#);
+    assert_eq!((table.usable(ClassIndex(0)), table.policy(ClassIndex(0))), (0, None));
+}
+
+#[test]
+fn a_change_takes_until_the_last_of_its_users_has_it() {
+    let (ms, node, proxy) = (Micros::from_millis, NodeIndex(1), ProxyIndex);
+    let mut propagation = Propagation::default();
+    propagation.withdraw(ms(10), node, BTreeSet::from([proxy(0), proxy(1), proxy(2)]));
+    propagation.reached(ms(15), node, proxy(0));
+    propagation.reached(ms(30), node, proxy(1));
+    assert_eq!((propagation.open().count(), propagation.last_proxy().count), (1, 0));
+    // The last one has gone.
+    propagation.leave(ms(40), proxy(2));
+    assert_eq!((propagation.open().count(), propagation.last_proxy().count), (0, 1));
+    assert!((propagation.last_proxy().longest_ms - 30.0).abs() < 0.1);
+    assert!((propagation.each_proxy().longest_ms - 20.0).abs() < 0.1);
+    propagation.withdraw(ms(50), node, BTreeSet::new());
+    propagation.withdraw(ms(50), node, BTreeSet::from([proxy(0)]));
+    propagation.readmit(node);
+    assert_eq!((propagation.unused(), propagation.overtaken(), propagation.last_proxy().count), (1, 1, 1));
+}
+
+#[test]
+fn the_exponent_of_a_power_is_found() {
+    let points: Vec<(f64, f64)> =
+        [100.0, 1_000.0, 5_000.0, 66_000.0_f64].map(|size| (size, 0.003 * size.powf(1.5))).to_vec();
+    let slope = Slope::through(&points).expect("four points");
+    assert!((slope.exponent - 1.5).abs() < 1e-9 && (slope.fit - 1.0).abs() < 1e-9);
+    assert!((slope.at(20_000.0) / (0.003 * 20_000.0_f64.powf(1.5)) - 1.0).abs() < 1e-9);
+    assert!((slope.smallest - 100.0).abs() < 1e-6 && (slope.largest - 66_000.0).abs() < 1e-6);
+    let flat = Slope::through(&[(1.0, 2.0), (10.0, 2.0), (100.0, 2.0)]).expect("three points");
+    assert_eq!((flat.exponent, flat.fit), (0.0, 1.0));
+    assert_eq!(Slope::through(&points[..2]), None);
+    assert_eq!(Slope::through(&[(1.0, 0.0), (2.0, 1.0), (3.0, 2.0)]), None);
+    assert_eq!(Slope::through(&[(2.0, 1.0), (2.0, 2.0), (2.0, 3.0)]), None);
+}
+
+/// The same seed makes the same day; nodes come back, and only so many are out at once.
+#[test]
+fn changes_by_chance_are_those_of_their_seed() {
+    let day = |seed: u64| {
+        let mut fleet = Fleet::new(&Plan { nodes: 100, ..Plan::default() }, EPOCH_MS);
+        let mut churn = Churn::new(seed, 10.0, Micros::default());
+        let mut changes = Vec::new();
+        while churn.due() < Micros::from_millis(120_000) {
+            let now = churn.due();
+            let Some(change) = churn.next(now, &fleet) else { continue };
+            fleet.apply(change);
+            let out =
+                |node: &u32| fleet.listed(NodeIndex(*node)).is_some_and(|it| it.state != NodeState::Active);
+            assert!((0..100).filter(out).count() <= 5);
+            changes.push((now, change));
+        }
+        changes
+    };
+    assert_eq!(day(1), day(1));
+    assert_ne!(day(1), day(2));
+    let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+    for (_, change) in day(1) {
+        *kinds
+            .entry(format!("{:?} {}", change.listed.state, change.listed.started.is_some()))
+            .or_default() += 1;
+    }
+    let kinds: Vec<&str> = kinds.keys().map(String::as_str).collect();
+    assert_eq!(kinds, ["Active true", "Leaving false", "Left false"]);
+}
