Scale run: run, slopes and hollow commands beside the table

A wrong power shows only along an axis, and 20,000 conductors only as a sum. slopes varies nodes, zones, proxies, changes and conductors one at a time and prints each figure's exponent by least squares on the logarithms; hollow drives so many reducers in slices and takes their figures to 20,000; run adds changes by chance and a restart.

--- /dev/null
+++ b/crates/scale/src/cli.rs
@@ -0,0 +1,233 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use oatpitch_scale::core::plan::Plan;
+use oatpitch_scale::core::slopes::Axis;
+
+#[derive(Parser)]
+#[command(name = "oatpitch-scale", version, about = "Conductors before a whole fleet, on loopback, measured")]
+pub struct Line {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// One fleet: start, joining, rest, drains, changes by chance, a restart; the rules are checked.
+    Run(Run),
+    /// The grid of the capacity page: fleets of several sizes and zones, drains one after another.
+    Table(Table),
+    /// How each figure grows with nodes, zones, proxies, changes and conductors, as an exponent.
+    Slopes(Slopes),
+    /// Thousands of conductors in this process: the real reducer and decisions, without sockets.
+    Hollow(Hollow),
+}
+
+#[derive(Args)]
+pub struct Run {
+    #[arg(long, default_value_t = 1_000)]
+    nodes: u32,
+    #[arg(long, default_value_t = 3)]
+    zones: u32,
+    /// Restarts, drains, failures and returns a second, by chance from the seed.
+    #[arg(long, default_value_t = 2.0)]
+    churn: f64,
+    #[arg(long, default_value_t = 20.0)]
+    churn_seconds: f64,
+    #[command(flatten)]
+    pub usual: Usual,
+}
+
+#[derive(Args)]
+pub struct Table {
+    /// Sizes of the fleet.
+    #[arg(long, value_delimiter = ',', default_values_t = [1_000, 5_000, 20_000, 66_000])]
+    nodes: Vec<u32>,
+    /// Zones that the fleet is spread over.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 146])]
+    zones: Vec<u32>,
+    #[command(flatten)]
+    pub usual: Usual,
+}
+
+#[derive(Args)]
+pub struct Slopes {
+    /// What is varied; all where none is named.
+    #[arg(long, value_delimiter = ',')]
+    axis: Vec<AxisName>,
+    /// The sizes to measure, where one axis is named.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<f64>,
+    /// What stands while another is varied.
+    #[arg(long, default_value_t = 1_000)]
+    nodes: u32,
+    #[arg(long, default_value_t = 3)]
+    zones: u32,
+    /// How long changes by chance come, at least, on their own axis.
+    #[arg(long, default_value_t = 10.0)]
+    churn_seconds: f64,
+    #[command(flatten)]
+    pub usual: Usual,
+}
+
+#[derive(Args)]
+pub struct Hollow {
+    #[arg(long, default_value_t = 1_000)]
+    nodes: u32,
+    #[arg(long, default_value_t = 3)]
+    zones: u32,
+    /// How many conductors at once.
+    #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 1_000])]
+    pub conductors: Vec<u32>,
+    /// The number that the slopes are taken to.
+    #[arg(long, default_value_t = 20_000)]
+    pub beyond: u32,
+    /// At each conductor.
+    #[arg(long, default_value_t = 2)]
+    proxies: u16,
+    #[arg(long, default_value_t = 20)]
+    drains: u32,
+    /// The longest time of each number of conductors.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Writes all figures to a file.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum AxisName {
+    Nodes,
+    Zones,
+    Proxies,
+    Changes,
+    Conductors,
+}
+
+impl From<AxisName> for Axis {
+    fn from(name: AxisName) -> Axis {
+        match name {
+            AxisName::Nodes => Axis::Nodes,
+            AxisName::Zones => Axis::Zones,
+            AxisName::Proxies => Axis::Proxies,
+            AxisName::Changes => Axis::Changes,
+            AxisName::Conductors => Axis::Conductors,
+        }
+    }
+}
+
+/// What commands with real conductors take.
+#[derive(Args)]
+pub struct Usual {
+    /// The conductor's program; the one beside this program where none is named.
+    #[arg(long, value_name = "PATH")]
+    conductor: Option<PathBuf>,
+    /// Another version of it: both are measured at each point, and the ratio is printed.
+    #[arg(long, value_name = "PATH")]
+    against: Option<PathBuf>,
+    /// Writes all figures to a file.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    #[arg(long, default_value_t = 7)]
+    proxies: u16,
+    #[arg(long, default_value_t = 1)]
+    conductors: u16,
+    /// Nodes set to leaving one after another.
+    #[arg(long, default_value_t = 20)]
+    drains: u32,
+    #[arg(long, default_value_t = 2.5)]
+    drains_per_second: f64,
+    /// The longest time of one point; what is not done by then is marked as not served.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    /// What the conductor is told of its memory, in MiB.
+    #[arg(long, default_value_t = 256)]
+    memory_mb: u32,
+    /// Quiet time after joining, and how long the idle share is measured after that.
+    #[arg(long, default_value_t = 3.0)]
+    settle_seconds: f64,
+    #[arg(long, default_value_t = 5.0)]
+    idle_seconds: f64,
+    /// Share of the proxies that neither read nor answer, and of those that read and answer no mark.
+    #[arg(long, default_value_t = 0.0)]
+    hang: f64,
+    #[arg(long, default_value_t = 0.0)]
+    mute: f64,
+    /// Leaves out the restart at the end of each point.
+    #[arg(long)]
+    no_restart: bool,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Usual {
+    fn plan(&self, nodes: u32, zones: u32) -> Plan {
+        Plan {
+            proxies: self.proxies,
+            conductors: self.conductors,
+            drains: self.drains,
+            drains_per_second: self.drains_per_second,
+            bound_seconds: self.seconds,
+            memory_mb: self.memory_mb,
+            settle_seconds: self.settle_seconds,
+            idle_seconds: self.idle_seconds,
+            hang_share: self.hang,
+            mute_share: self.mute,
+            restart: !self.no_restart,
+            seed: self.seed,
+            ..Plan::sized(nodes, zones)
+        }
+    }
+
+    /// The programs that are measured.
+    pub fn programs(&self) -> Result<Vec<PathBuf>> {
+        let own = std::env::current_exe().context("the place of this program")?;
+        let first = self.conductor.clone().unwrap_or_else(|| own.with_file_name("oatpitch"));
+        Ok([first].into_iter().chain(self.against.clone()).collect())
+    }
+}
+
+impl Run {
+    pub fn plans(&self) -> Vec<Plan> {
+        let plan = self.usual.plan(self.nodes, self.zones);
+        vec![Plan { churn_per_second: self.churn, churn_seconds: self.churn_seconds, ..plan }]
+    }
+}
+
+impl Table {
+    pub fn plans(&self) -> Vec<Plan> {
+        let row = |nodes: &u32| self.zones.iter().map(|zones| self.usual.plan(*nodes, *zones)).collect();
+        self.nodes.iter().flat_map(|nodes| -> Vec<Plan> { row(nodes) }).collect()
+    }
+}
+
+impl Slopes {
+    /// The plans along each axis.
+    pub fn plans(&self) -> Vec<(Axis, Vec<Plan>)> {
+        let usual = self.usual.plan(self.nodes, self.zones);
+        let base = Plan { churn_seconds: self.churn_seconds, ..usual };
+        let named: Vec<Axis> = self.axis.iter().map(|name| Axis::from(*name)).collect();
+        let axes = if named.is_empty() { Axis::ALL.to_vec() } else { named };
+        let own_sizes = axes.len() == 1 && !self.sizes.is_empty();
+        let sizes = |axis: Axis| if own_sizes { &self.sizes } else { axis.sizes() };
+        let along = |axis: Axis| sizes(axis).iter().map(|size| axis.place(&base, *size)).collect();
+        axes.iter().map(|axis| (*axis, along(*axis))).collect()
+    }
+}
+
+impl Hollow {
+    pub fn plan(&self) -> Plan {
+        Plan {
+            proxies: self.proxies,
+            drains: self.drains,
+            bound_seconds: self.seconds,
+            seed: self.seed,
+            ..Plan::sized(self.nodes, self.zones)
+        }
+    }
+}
--- a/crates/scale/src/core/report.rs
+++ b/crates/scale/src/core/report.rs
@@ -24,6 +24,8 @@
     Ended,
     /// It could not be started, or the run itself failed.
     Failed,
+    /// The run was asked to end.
+    Interrupted,
 }
 
 impl Outcome {
@@ -35,6 +37,7 @@
             Outcome::Stopped => "not served: out of time",
             Outcome::Ended => "not served: it ended",
             Outcome::Failed => "not run",
+            Outcome::Interrupted => "not run to its end",
         }
     }
 }
@@ -134,23 +137,24 @@
 
 /// The whole run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct RunReport {
+pub struct RunReport<T> {
     pub command: Vec<String>,
     /// Load of the machine and its cores when the run began and when it ended.
     pub cores: usize,
     pub load_at_start: Option<f64>,
     pub load_at_end: Option<f64>,
-    pub points: Vec<PointReport>,
+    pub results: Vec<T>,
 }
 
-/// A column: its heading and the figure that it shows, where there is one.
-struct Column {
-    heading: &'static str,
-    figure: fn(&PointReport) -> Option<f64>,
+/// A figure of a point, where there is one, under its heading.
+#[derive(Debug)]
+pub struct Figure {
+    pub heading: &'static str,
+    pub of: fn(&PointReport) -> Option<f64>,
     unit: Unit,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Unit {
     Seconds,
     Millis,
@@ -186,95 +190,88 @@
     }
 }
 
-const COLUMNS: &[Column] = &[
-    Column { heading: "list", figure: |point| Some(point.outside.list_bytes as f64), unit: Unit::Bytes },
-    Column { heading: "alive after", figure: |point| point.conductor.alive_seconds, unit: Unit::Seconds },
-    Column {
+/// All figures, in the order of their columns.
+pub const FIGURES: &[Figure] = &[
+    Figure { heading: "list", of: |point| Some(point.outside.list_bytes as f64), unit: Unit::Bytes },
+    Figure { heading: "alive after", of: |point| point.conductor.alive_seconds, unit: Unit::Seconds },
+    Figure {
         heading: "all have a table after",
-        figure: |point| point.conductor.tables_seconds,
+        of: |point| point.conductor.tables_seconds,
         unit: Unit::Seconds,
     },
-    Column {
+    Figure {
         heading: "CPU of start and joining",
-        figure: |point| Some(point.conductor.start_cpu_seconds),
+        of: |point| Some(point.conductor.start_cpu_seconds),
         unit: Unit::Seconds,
     },
-    Column {
-        heading: "idle, share of a core",
-        figure: |point| point.conductor.idle_cores,
-        unit: Unit::Share,
-    },
-    Column {
+    Figure { heading: "idle, share of a core", of: |point| point.conductor.idle_cores, unit: Unit::Share },
+    Figure {
         heading: "CPU a change",
-        figure: |point| point.conductor.change_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        of: |point| point.conductor.change_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
         unit: Unit::Millis,
     },
-    Column {
+    Figure {
         heading: "share of a core while changes come",
-        figure: |point| point.conductor.change_cores,
+        of: |point| point.conductor.change_cores,
         unit: Unit::Share,
     },
-    Column {
+    Figure {
         heading: "CPU a change by chance",
-        figure: |point| point.conductor.churn_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        of: |point| point.conductor.churn_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
         unit: Unit::Millis,
     },
-    Column {
+    Figure {
         heading: "share of a core under changes by chance",
-        figure: |point| point.conductor.churn_cores,
+        of: |point| point.conductor.churn_cores,
         unit: Unit::Share,
     },
-    Column {
+    Figure {
         heading: "change to last proxy, median",
-        figure: |point| spread(point, point.outside.last_proxy.median_ms),
+        of: |point| spread(point, point.outside.last_proxy.median_ms),
         unit: Unit::Millis,
     },
-    Column {
+    Figure {
         heading: "99th",
-        figure: |point| spread(point, point.outside.last_proxy.p99_ms),
+        of: |point| spread(point, point.outside.last_proxy.p99_ms),
         unit: Unit::Millis,
     },
-    Column {
+    Figure {
         heading: "longest",
-        figure: |point| spread(point, point.outside.last_proxy.longest_ms),
+        of: |point| spread(point, point.outside.last_proxy.longest_ms),
         unit: Unit::Millis,
     },
-    Column {
+    Figure {
         heading: "not reached",
-        figure: |point| Some(point.outside.changes_not_reached as f64),
+        of: |point| Some(point.outside.changes_not_reached as f64),
         unit: Unit::Count,
     },
-    Column {
+    Figure {
         heading: "bytes a proxy at joining",
-        figure: |point| Some(point.outside.joining_bytes_per_proxy),
+        of: |point| Some(point.outside.joining_bytes_per_proxy),
         unit: Unit::Bytes,
     },
-    Column {
+    Figure {
         heading: "alive after a restart",
-        figure: |point| point.conductor.restart_alive_seconds,
+        of: |point| point.conductor.restart_alive_seconds,
         unit: Unit::Seconds,
     },
-    Column {
+    Figure {
         heading: "tables after a restart",
-        figure: |point| point.conductor.restart_tables_seconds,
+        of: |point| point.conductor.restart_tables_seconds,
         unit: Unit::Seconds,
     },
-    Column { heading: "peak", figure: |point| Some(point.conductor.peak_memory_mb), unit: Unit::Megabytes },
-    Column {
+    Figure { heading: "peak", of: |point| Some(point.conductor.peak_memory_mb), unit: Unit::Megabytes },
+    Figure {
         heading: "proxies without a line",
-        figure: |point| Some(point.outside.proxies_without_line as f64),
+        of: |point| Some(point.outside.proxies_without_line as f64),
         unit: Unit::Count,
     },
-    Column {
+    Figure {
         heading: "breaks of rules",
-        figure: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
+        of: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
         unit: Unit::Count,
     },
-    Column {
-        heading: "run late by",
-        figure: |point| Some(point.outside.own_lateness_ms),
-        unit: Unit::Millis,
-    },
+    Figure { heading: "run late by", of: |point| Some(point.outside.own_lateness_ms), unit: Unit::Millis },
 ];
 
 /// Nothing where no change was measured.
@@ -282,20 +279,21 @@
     (point.outside.last_proxy.count > 0).then_some(figure)
 }
 
-fn row(cells: impl IntoIterator<Item = String>) -> String {
+/// A row of a markdown table.
+pub fn row(cells: impl IntoIterator<Item = String>) -> String {
     let cells: Vec<String> = cells.into_iter().collect();
     format!("| {} |\n", cells.join(" | "))
 }
 
-/// A row for each point; where two programs were measured at the same point, a row with the ratio follows. Columns
+/// A row for each point; where two programs were measured at the same point, a row with the ratio follows. Figures
 /// without a figure are left out. Below stand the breaks of rules.
 pub fn markdown(points: &[PointReport]) -> String {
-    let any = |column: &&Column| points.iter().any(|point| (column.figure)(point).is_some());
-    let columns: Vec<&Column> = COLUMNS.iter().filter(any).collect();
+    let any = |figure: &&Figure| points.iter().any(|point| (figure.of)(point).is_some());
+    let columns: Vec<&Figure> = FIGURES.iter().filter(any).collect();
     let fixed =
         ["program", "nodes", "zones", "proxies", "conductors", "changes/s", "served"].map(String::from);
     let headings: Vec<String> =
-        fixed.into_iter().chain(columns.iter().map(|column| column.heading.into())).collect();
+        fixed.into_iter().chain(columns.iter().map(|figure| figure.heading.into())).collect();
     let mut table = row(headings.iter().cloned());
     table += &row(headings.iter().map(|_| "---".into()));
     for (place, point) in points.iter().enumerate() {
@@ -329,29 +327,29 @@
     before.plan == point.plan && before.program != point.program
 }
 
-fn point_row(point: &PointReport, columns: &[&Column]) -> String {
+fn point_row(point: &PointReport, columns: &[&Figure]) -> String {
     let plan = &point.plan;
     let counts = [plan.nodes, plan.zones, plan.proxies.into(), plan.conductors.into()];
     let fixed = [point.program.clone()].into_iter().chain(counts.iter().map(u32::to_string));
-    let cell = |column: &Column| match (column.figure)(point) {
-        Some(figure) => column.unit.show(figure),
+    let cell = |figure: &Figure| match (figure.of)(point) {
+        Some(value) => figure.unit.show(value),
         None => String::new(),
     };
     let served = match point.outcome {
         Outcome::Served if point.conductor.is_full_at_rest() => "yes, with a core full at rest",
         outcome => outcome.words(),
     };
-    row(fixed.chain([served.into()]).chain(columns.iter().map(|column| cell(column))))
+    row(fixed.chain([served.into()]).chain(columns.iter().map(|figure| cell(figure))))
 }
 
 /// The first program's figure over the second's.
-fn ratio_row(first: &PointReport, second: &PointReport, columns: &[&Column]) -> String {
-    let cell = |column: &Column| match ((column.figure)(first), (column.figure)(second)) {
+fn ratio_row(first: &PointReport, second: &PointReport, columns: &[&Figure]) -> String {
+    let cell = |figure: &Figure| match ((figure.of)(first), (figure.of)(second)) {
         (Some(first), Some(second)) if first > 0.0 && second > 0.0 => {
             format!("x {}", significant(first / second))
         }
         _ => String::new(),
     };
     let fixed = std::iter::once("first over second".to_string()).chain((0..6).map(|_| String::new()));
-    row(fixed.chain(columns.iter().map(|column| cell(column))))
+    row(fixed.chain(columns.iter().map(|figure| cell(figure))))
 }
--- /dev/null
+++ b/crates/scale/src/core/slopes.rs
@@ -0,0 +1,142 @@
+//! How the figures of a grid grow along one axis, for each program that was measured.
+
+use serde::{Serialize, Serializer};
+
+use super::plan::Plan;
+use super::report::{FIGURES, Figure, Outcome, PointReport, row};
+use super::slope::Slope;
+
+/// What is varied while all else stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Axis {
+    Nodes,
+    Zones,
+    Proxies,
+    Changes,
+    Conductors,
+}
+
+impl Axis {
+    pub const ALL: [Axis; 5] = [Axis::Nodes, Axis::Zones, Axis::Proxies, Axis::Changes, Axis::Conductors];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Axis::Nodes => "nodes",
+            Axis::Zones => "zones",
+            Axis::Proxies => "proxies",
+            Axis::Changes => "changes a second",
+            Axis::Conductors => "conductors",
+        }
+    }
+
+    /// Where a plan stands on this axis.
+    pub fn size(self, plan: &Plan) -> f64 {
+        match self {
+            Axis::Nodes => plan.nodes.into(),
+            Axis::Zones => plan.zones.into(),
+            Axis::Proxies => plan.proxies.into(),
+            Axis::Changes => plan.churn_per_second,
+            Axis::Conductors => plan.conductors.into(),
+        }
+    }
+
+    /// The sizes that are measured where none are named.
+    pub fn sizes(self) -> &'static [f64] {
+        match self {
+            Axis::Nodes => &[100.0, 1_000.0, 5_000.0, 20_000.0, 66_000.0],
+            Axis::Zones => &[1.0, 3.0, 12.0, 52.0, 146.0],
+            Axis::Proxies => &[7.0, 50.0, 250.0, 1_000.0, 2_400.0],
+            Axis::Changes => &[0.1, 1.0, 10.0, 100.0],
+            Axis::Conductors => &[1.0, 2.0, 5.0, 10.0, 20.0],
+        }
+    }
+
+    /// A plan moved along this axis.
+    pub fn place(self, base: &Plan, size: f64) -> Plan {
+        let sized = |nodes, zones| {
+            let shape = Plan::sized(nodes, zones);
+            Plan { nodes, zones, regions: shape.regions, services: shape.services, ..base.clone() }
+        };
+        match self {
+            Axis::Nodes => sized(size as u32, base.zones),
+            Axis::Zones => sized(base.nodes, size as u32),
+            Axis::Proxies => Plan { proxies: size as u16, ..base.clone() },
+            // The seldomest changes still come twice.
+            Axis::Changes => {
+                let churn_seconds = (2.0 / size).max(base.churn_seconds);
+                Plan { drains: 0, restart: false, churn_per_second: size, churn_seconds, ..base.clone() }
+            }
+            Axis::Conductors => Plan { conductors: size as u16, ..base.clone() },
+        }
+    }
+}
+
+/// How one figure of one program grows.
+#[derive(Clone, Debug, Serialize)]
+pub struct FigureSlope {
+    pub program: String,
+    #[serde(serialize_with = "heading")]
+    pub figure: &'static Figure,
+    pub slope: Slope,
+}
+
+fn heading<S: Serializer>(figure: &&'static Figure, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(figure.heading)
+}
+
+/// The points along one axis, and the slopes through those that were served.
+#[derive(Clone, Debug, Serialize)]
+pub struct AxisReport {
+    pub axis: Axis,
+    pub points: Vec<PointReport>,
+    pub slopes: Vec<FigureSlope>,
+}
+
+impl AxisReport {
+    pub fn new(axis: Axis, points: Vec<PointReport>) -> AxisReport {
+        let mut slopes = Vec::new();
+        for program in programs(&points) {
+            for figure in FIGURES {
+                let served: Vec<(f64, f64)> = points
+                    .iter()
+                    .filter(|point| point.program == program && point.outcome == Outcome::Served)
+                    .filter_map(|point| Some((axis.size(&point.plan), (figure.of)(point)?)))
+                    .collect();
+                let slope = Slope::through(&served);
+                slopes.extend(slope.map(|slope| FigureSlope { program: program.clone(), figure, slope }));
+            }
+        }
+        AxisReport { axis, points, slopes }
+    }
+
+    /// A row for each figure, with its exponent and what that rests on.
+    pub fn markdown(&self) -> String {
+        let headings =
+            ["program", "figure", "grows as", "fit", "points", "measured from", "to"].map(String::from);
+        let mut table = row(headings.clone()) + &row(headings.map(|_| "---".to_string()));
+        for FigureSlope { program, figure, slope } in &self.slopes {
+            table += &row([
+                program.clone(),
+                figure.heading.to_string(),
+                format!("{} ^ {:.2}", self.axis.name(), slope.exponent),
+                format!("{:.2}", slope.fit),
+                slope.points.to_string(),
+                format!("{:.3}", slope.smallest).trim_end_matches('0').trim_end_matches('.').to_string(),
+                format!("{:.3}", slope.largest).trim_end_matches('0').trim_end_matches('.').to_string(),
+            ]);
+        }
+        table
+    }
+}
+
+/// The programs of some points, in the order of their coming.
+fn programs(points: &[PointReport]) -> Vec<String> {
+    let mut programs: Vec<String> = Vec::new();
+    for point in points {
+        if !programs.contains(&point.program) {
+            programs.push(point.program.clone());
+        }
+    }
+    programs
+}
--- /dev/null
+++ b/crates/scale/src/net/hollow.rs
@@ -0,0 +1,203 @@
+//! Hollow conductors, measured: as many as named at once in this process, one after another in slices of time.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use hdrhistogram::Histogram;
+
+use super::proc_fs;
+use crate::core::fleet::{Change, Fleet, Listed, NodeState};
+use crate::core::hollow::{EPOCH_MS, HollowConductor, Work, news, whole_list};
+use crate::core::hollow_report::{HollowOutcome, HollowReport};
+use crate::core::ids::{Micros, NodeIndex};
+use crate::core::plan::Plan;
+use crate::core::propagation::{Spread, times};
+use crate::core::settings::mandate;
+
+/// Memory of this process beyond which no further conductor is started: under half of a usual machine.
+const MEMORY_MOST_MB: f64 = 11_000.0;
+/// How often memory is looked at, in conductors started.
+const MEMORY_LOOK: u32 = 16;
+/// When the list is told, the proxies join, all is quiet, and the changes begin and end, in the run's time.
+const TOLD: Micros = Micros::from_millis(10);
+const JOINED: Micros = Micros::from_millis(20);
+const QUIET: Micros = Micros::from_millis(5_000);
+const CHANGES_BEGIN: Micros = Micros::from_millis(15_000);
+const CHANGES_TAIL: Micros = Micros::from_millis(5_000);
+
+struct Hollow<'a> {
+    plan: &'a Plan,
+    fleet: Fleet,
+    conductors: Vec<HollowConductor>,
+    turns: Histogram<u64>,
+    until: Instant,
+}
+
+/// So many hollow conductors before the plan's fleet, each with the plan's proxies; what is not done within the plan's
+/// bound is left. `before_mb` is what this process held before the first of them: what is freed in between is used
+/// again.
+pub fn measure(
+    plan: &Plan,
+    conductors: u32,
+    before_mb: f64,
+    progress: impl Fn(&str),
+) -> Result<HollowReport> {
+    let began = Instant::now();
+    let mut hollow = Hollow {
+        plan,
+        fleet: Fleet::new(plan, EPOCH_MS),
+        conductors: Vec::new(),
+        turns: times(),
+        until: began + Duration::from_secs_f64(plan.bound_seconds),
+    };
+    let list_bytes = hollow.fleet.snapshot().document.len() as u64 * u64::from(conductors);
+    let mut report = HollowReport {
+        conductors,
+        nodes: plan.nodes,
+        zones: plan.zones,
+        proxies: plan.proxies,
+        outcome: HollowOutcome::OutOfTime,
+        seconds: 0.0,
+        start_cpu_seconds: 0.0,
+        idle_cores: 0.0,
+        change_cpu_ms: 0.0,
+        turn: Spread::default(),
+        memory_mb: 0.0,
+        joining_messages: 0,
+        joining_lines: 0,
+        change_messages: 0.0,
+        change_lines: 0.0,
+        list_bytes,
+        change_bytes: 0.0,
+    };
+    hollow.measure(&mut report, before_mb, progress)?;
+    report.turn = Spread::of(&hollow.turns);
+    report.seconds = began.elapsed().as_secs_f64();
+    Ok(report)
+}
+
+/// What this process holds, in MiB.
+pub fn own_memory_mb() -> f64 {
+    proc_fs::resident(std::process::id()).unwrap_or_default().current_mb
+}
+
+/// Processor time that something takes, in seconds.
+fn cpu_of<T>(work: impl FnOnce() -> T) -> (T, f64) {
+    let before = proc_fs::own_cpu_time();
+    let done = work();
+    (done, (proc_fs::own_cpu_time() - before).as_secs_f64())
+}
+
+impl Hollow<'_> {
+    fn measure(&mut self, report: &mut HollowReport, before_mb: f64, progress: impl Fn(&str)) -> Result<()> {
+        let what =
+            |stage: &str| format!("{} hollow conductors, {} nodes: {stage}", report.conductors, report.nodes);
+        let messages = [what("starting"), what("at rest"), what("changes")];
+        progress(&messages[0]);
+        let count = report.conductors;
+        let (started, start_cpu) = cpu_of(|| self.start(count));
+        (report.outcome, report.start_cpu_seconds) = (started?, start_cpu);
+        report.memory_mb = own_memory_mb() - before_mb;
+        let joined = self.work();
+        (report.joining_messages, report.joining_lines) = (joined.messages, joined.lines);
+        if report.outcome != HollowOutcome::Done {
+            return Ok(());
+        }
+        progress(&messages[1]);
+        let (done, idle) = cpu_of(|| self.pass(CHANGES_BEGIN));
+        report.idle_cores = idle / (CHANGES_BEGIN - QUIET).seconds();
+        progress(&messages[2]);
+        let before = self.work();
+        let (changed, cpu) = cpu_of(|| self.changes());
+        if !done || !changed {
+            report.outcome = HollowOutcome::OutOfTime;
+            return Ok(());
+        }
+        let span = self.changes_end() - CHANGES_BEGIN;
+        const MS_PER_SECOND: f64 = 1e3;
+        let (drains, after) = (f64::from(self.plan.drains.max(1)), self.work());
+        let own = (cpu - report.idle_cores * span.seconds()).max(0.0);
+        report.change_cpu_ms = own * MS_PER_SECOND / drains;
+        report.change_messages = (after.messages - before.messages) as f64 / drains;
+        report.change_lines = (after.lines - before.lines) as f64 / drains;
+        let lines: usize = self.fleet.changes_after(1).iter().map(|told| told.line.len()).sum();
+        report.change_bytes = lines as f64 / drains * f64::from(report.conductors);
+        Ok(())
+    }
+
+    /// All are started, told the list, joined by their proxies, and quiet.
+    fn start(&mut self, count: u32) -> Result<HollowOutcome> {
+        let (mandate, list) = (mandate(self.plan)?, whole_list(&self.fleet));
+        for number in 0..count {
+            if Instant::now() >= self.until {
+                return Ok(HollowOutcome::OutOfTime);
+            }
+            if number % MEMORY_LOOK == 0 && own_memory_mb() > MEMORY_MOST_MB {
+                return Ok(HollowOutcome::OutOfMemory);
+            }
+            let seed = self.plan.seed.wrapping_add(number.into());
+            let mut conductor = HollowConductor::start(Micros::default(), mandate.clone(), seed);
+            conductor.told(TOLD, list.clone());
+            conductor.join(JOINED, self.plan, self.plan.proxies);
+            conductor.pass(QUIET, |turn| turn());
+            self.conductors.push(conductor);
+        }
+        Ok(HollowOutcome::Done)
+    }
+
+    /// What all have done so far.
+    fn work(&self) -> Work {
+        self.conductors.iter().fold(Work::default(), |sum, conductor| Work {
+            turns: sum.turns + conductor.work.turns,
+            messages: sum.messages + conductor.work.messages,
+            lines: sum.lines + conductor.work.lines,
+            marks_answered: sum.marks_answered + conductor.work.marks_answered,
+        })
+    }
+
+    /// Time passes at each conductor; tells whether all came to its end.
+    fn pass(&mut self, until: Micros) -> bool {
+        let turns = &mut self.turns;
+        for conductor in &mut self.conductors {
+            if Instant::now() >= self.until {
+                return false;
+            }
+            conductor.pass(until, |turn| measured(turns, turn));
+        }
+        true
+    }
+
+    fn changes_end(&self) -> Micros {
+        let span = f64::from(self.plan.drains) / self.plan.drains_per_second;
+        CHANGES_BEGIN + Micros::from_seconds(span) + CHANGES_TAIL
+    }
+
+    /// Nodes are set to leaving one after another; each conductor is told of all of them.
+    fn changes(&mut self) -> bool {
+        for drain in 0..self.plan.drains {
+            let node = NodeIndex(
+                (u64::from(drain) * u64::from(self.plan.nodes) / u64::from(self.plan.drains)) as u32,
+            );
+            let change = Change { node, listed: Listed { state: NodeState::Leaving, started: None } };
+            self.fleet.apply(change);
+            let at = CHANGES_BEGIN + Micros::from_seconds(f64::from(drain) / self.plan.drains_per_second);
+            if !self.pass(at) {
+                return false;
+            }
+            let news = news(&self.fleet, change);
+            let turns = &mut self.turns;
+            for conductor in &mut self.conductors {
+                let mut news = Some(news.clone());
+                measured(turns, &mut || news.take().into_iter().for_each(|news| conductor.told(at, news)));
+            }
+        }
+        self.pass(self.changes_end())
+    }
+}
+
+/// One turn, and how long it took.
+fn measured(turns: &mut Histogram<u64>, turn: &mut dyn FnMut()) {
+    let began = Instant::now();
+    turn();
+    turns.saturating_record(began.elapsed().as_micros() as u64);
+}
--- a/crates/scale/src/net/mod.rs
+++ b/crates/scale/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod conductor;
 pub mod discovery;
+pub mod hollow;
 pub mod lateness;
 pub mod point;
 pub mod proc_fs;
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -9,6 +9,7 @@
 use anyhow::{Context, Result, bail};
 use oatpitch_standins::conductor::free_port;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::Instant;
 
@@ -51,9 +52,11 @@
             Ok(point) => point,
             Err(trouble) => return report.borrow_mut().notes.push(format!("{trouble:#}")),
         };
-        let done = tokio::time::timeout(bound, point.stages()).await;
-        if let Ok(Err(trouble)) = done {
-            report.borrow_mut().notes.push(format!("{trouble:#}"));
+        tokio::select! {
+            done = tokio::time::timeout(bound, point.stages()) => if let Ok(Err(trouble)) = done {
+                report.borrow_mut().notes.push(format!("{trouble:#}"));
+            },
+            () = interrupted() => point.reached(Outcome::Interrupted),
         }
         point.close();
     };
@@ -62,6 +65,15 @@
     report.borrow().clone()
 }
 
+/// Waits for a signal to end, so that no conductor is left behind.
+async fn interrupted() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 struct Point<'a> {
     program: &'a Path,
     world: Rc<World>,
@@ -332,7 +344,8 @@
         self.keep_memory();
         self.keep_lateness();
         let mut report = self.report.borrow_mut();
-        if self.conductors.iter_mut().any(Conductor::has_ended) {
+        let ended = self.conductors.iter_mut().any(Conductor::has_ended);
+        if ended && report.outcome != Outcome::Interrupted {
             report.outcome = Outcome::Ended;
         }
         if report.outcome != Outcome::Served {
--- a/crates/scale/src/net/proc_fs.rs
+++ b/crates/scale/src/net/proc_fs.rs
@@ -13,6 +13,13 @@
     (!nanoseconds.is_empty()).then(|| Duration::from_nanos(nanoseconds.iter().sum()))
 }
 
+/// Processor time of the thread that asks.
+pub fn own_cpu_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanoseconds = text.split_whitespace().next().and_then(|word| word.parse().ok());
+    Duration::from_nanos(nanoseconds.unwrap_or_default())
+}
+
 /// Memory of a process in MiB: the most it has held, and what it holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Resident {
