--- a/crates/scale/src/core/checker.rs
+++ b/crates/scale/src/core/checker.rs
@@ -250,6 +250,18 @@
         self.refresh_warm(now, conductor);
     }
 
+    /// A list counts as told to a conductor, but for the nodes that it was told of already.
+    pub fn told_rest(&mut self, now: Micros, conductor: ConductorIndex, list: &[Listed]) {
+        self.advance(now);
+        for (node, listed) in list.iter().enumerate() {
+            let node = NodeIndex(node as u32);
+            if self.conductor(conductor).is_some_and(|known| !known.nodes.contains_key(&node)) {
+                self.take_entry(now, conductor, node, *listed);
+            }
+        }
+        self.refresh_warm(now, conductor);
+    }
+
     fn take_entry(&mut self, now: Micros, conductor: ConductorIndex, node: NodeIndex, listed: Listed) {
         let (warm_up, limit) = (self.terms.warm_up, self.terms.grace + self.terms.slack);
         let Some(known) = self.conductor_mut(conductor) else { return };
--- a/crates/scale/src/core/fleet.rs
+++ b/crates/scale/src/core/fleet.rs
@@ -10,6 +10,8 @@
 use super::ids::{Micros, NodeIndex};
 use super::plan::Plan;
 
+/// Changes that are kept as lines; who asks for older ones is told the whole list.
+const CHANGES_MOST: usize = 1 << 16;
 /// Kinds of machine that the nodes are of, by turns.
 const MODELS: u32 = 2;
 
@@ -128,6 +130,10 @@
         self.version += 1;
         let line = self.change_line(change.node);
         self.changes.push(Told { version: self.version, change, line });
+        if self.changes.len() > CHANGES_MOST {
+            self.changes.drain(..CHANGES_MOST / 2);
+            self.snapshot = self.render();
+        }
     }
 
     /// The list as it was rendered last; [`Fleet::changes_after`] tells what has changed since.
--- a/crates/scale/src/core/report.rs
+++ b/crates/scale/src/core/report.rs
@@ -49,8 +49,10 @@
     pub alive_seconds: Option<f64>,
     /// From the proxies' joining until the last of them was sent its whole table.
     pub tables_seconds: Option<f64>,
-    /// Processor time from its start until it is quiet after joining.
+    /// Processor time from its start until it is quiet after joining, without the idle share of that quiet.
     pub start_cpu_seconds: f64,
+    /// The same with the idle share of that quiet.
+    pub start_cpu_with_rest_seconds: f64,
     pub idle_cores: Option<f64>,
     /// Processor time of the drains without the idle share, by drain.
     pub change_cpu_ms: Option<f64>,
@@ -190,7 +192,7 @@
     }
 }
 
-/// All figures, in the order of their columns.
+/// All figures of conductors and proxies, in the order of their columns.
 pub const FIGURES: &[Figure] = &[
     Figure { heading: "list", of: |point| Some(point.outside.list_bytes as f64), unit: Unit::Bytes },
     Figure { heading: "alive after", of: |point| point.conductor.alive_seconds, unit: Unit::Seconds },
@@ -271,9 +273,12 @@
         of: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
         unit: Unit::Count,
     },
-    Figure { heading: "run late by", of: |point| Some(point.outside.own_lateness_ms), unit: Unit::Millis },
 ];
 
+/// How late the run itself was: the last column, and no figure of a conductor.
+const LATENESS: Figure =
+    Figure { heading: "run late by", of: |point| Some(point.outside.own_lateness_ms), unit: Unit::Millis };
+
 /// Nothing where no change was measured.
 fn spread(point: &PointReport, figure: f64) -> Option<f64> {
     (point.outside.last_proxy.count > 0).then_some(figure)
@@ -289,7 +294,7 @@
 /// without a figure are left out. Below stand the breaks of rules.
 pub fn markdown(points: &[PointReport]) -> String {
     let any = |figure: &&Figure| points.iter().any(|point| (figure.of)(point).is_some());
-    let columns: Vec<&Figure> = FIGURES.iter().filter(any).collect();
+    let columns: Vec<&Figure> = FIGURES.iter().chain([&LATENESS]).filter(any).collect();
     let fixed =
         ["program", "nodes", "zones", "proxies", "conductors", "changes/s", "served"].map(String::from);
     let headings: Vec<String> =
--- a/crates/scale/src/core/slope.rs
+++ b/crates/scale/src/core/slope.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Slope {
     pub exponent: f64,
+    /// Between the two largest sizes alone, where what does not grow weighs least.
+    pub last_exponent: f64,
     pub factor: f64,
     /// Part of the variation that the line explains, 0 to 1.
     pub fit: f64,
@@ -21,11 +23,16 @@
     /// Through points of a size and its figure; sizes and figures that are not above 0 are left out, as they have no
     /// logarithm.
     pub fn through(points: &[(f64, f64)]) -> Option<Slope> {
-        let logs: Vec<(f64, f64)> = points
+        let mut logs: Vec<(f64, f64)> = points
             .iter()
             .filter(|(size, figure)| *size > 0.0 && *figure > 0.0)
             .map(|(size, figure)| (size.ln(), figure.ln()))
             .collect();
+        logs.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let last_exponent = match logs.as_slice() {
+            [.., before, last] if last.0 > before.0 => (last.1 - before.1) / (last.0 - before.0),
+            _ => return None,
+        };
         let count = logs.len() as f64;
         let mean = |side: fn(&(f64, f64)) -> f64| logs.iter().map(side).sum::<f64>() / count;
         let (mean_size, mean_figure) = (mean(|point| point.0), mean(|point| point.1));
@@ -39,16 +46,15 @@
         }
         let exponent = both / sizes;
         let fit = if figures == 0.0 { 1.0 } else { both * both / (sizes * figures) };
-        let edge = |pick: fn(f64, f64) -> f64, start: f64| {
-            logs.iter().map(|(size, _)| *size).fold(start, pick).exp()
-        };
+        let edge = |point: Option<&(f64, f64)>| point.map_or(0.0, |(size, _)| size.exp());
         Some(Slope {
             exponent,
+            last_exponent,
             factor: (mean_figure - exponent * mean_size).exp(),
             fit,
             points: logs.len(),
-            smallest: edge(f64::min, f64::INFINITY),
-            largest: edge(f64::max, f64::NEG_INFINITY),
+            smallest: edge(logs.first()),
+            largest: edge(logs.last()),
         })
     }
 
--- a/crates/scale/src/core/slopes.rs
+++ b/crates/scale/src/core/slopes.rs
@@ -113,23 +113,31 @@
     /// A row for each figure, with its exponent and what that rests on.
     pub fn markdown(&self) -> String {
         let headings =
-            ["program", "figure", "grows as", "fit", "points", "measured from", "to"].map(String::from);
+            ["program", "figure", "grows as", "between the last two", "fit", "points", "measured from", "to"];
+        let headings = headings.map(String::from);
         let mut table = row(headings.clone()) + &row(headings.map(|_| "---".to_string()));
         for FigureSlope { program, figure, slope } in &self.slopes {
             table += &row([
                 program.clone(),
                 figure.heading.to_string(),
                 format!("{} ^ {:.2}", self.axis.name(), slope.exponent),
+                format!("^ {:.2}", slope.last_exponent),
                 format!("{:.2}", slope.fit),
                 slope.points.to_string(),
-                format!("{:.3}", slope.smallest).trim_end_matches('0').trim_end_matches('.').to_string(),
-                format!("{:.3}", slope.largest).trim_end_matches('0').trim_end_matches('.').to_string(),
+                size(slope.smallest),
+                size(slope.largest),
             ]);
         }
         table
     }
 }
 
+/// Without the digits that a logarithm adds.
+fn size(size: f64) -> String {
+    const DIGITS: f64 = 1e6;
+    ((size * DIGITS).round() / DIGITS).to_string()
+}
+
 /// The programs of some points, in the order of their coming.
 fn programs(points: &[PointReport]) -> Vec<String> {
     let mut programs: Vec<String> = Vec::new();
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -31,6 +31,8 @@
 /// How long the last changes may take to reach all proxies, and the quiet after that still counts as theirs.
 const LAST_CHANGES: Duration = Duration::from_secs(5);
 const CHANGES_TAIL: Duration = Duration::from_secs(2);
+/// As the protocol has it.
+const TOLD_LATEST: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(5);
 const MS_PER_SECOND: f64 = 1e3;
 
@@ -65,6 +67,12 @@
     report.borrow().clone()
 }
 
+/// Whatever discovery has to tell counts as told by then, whether it arrived or not.
+async fn told_at_the_latest(world: Rc<World>) {
+    tokio::time::sleep(TOLD_LATEST).await;
+    (0..world.plan.conductors).for_each(|conductor| world.told_rest(ConductorIndex(conductor)));
+}
+
 /// Waits for a signal to end, so that no conductor is left behind.
 async fn interrupted() {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
@@ -111,6 +119,7 @@
     async fn stages(&mut self) -> Result<()> {
         self.reached(Outcome::NeverAlive);
         self.start(false)?;
+        self.tasks.spawn_local(told_at_the_latest(self.world.clone()));
         let alive = self.until_alive().await?;
         self.report.borrow_mut().conductor.alive_seconds = Some(alive);
         self.reached(Outcome::NoTable);
@@ -227,6 +236,7 @@
         let idle = (self.cpu() - joined_cpu) / at.elapsed().as_secs_f64();
         let mut report = self.report.borrow_mut();
         report.conductor.idle_cores = Some(idle);
+        report.conductor.start_cpu_with_rest_seconds = joined_cpu;
         report.conductor.start_cpu_seconds = (joined_cpu - idle * settle.as_secs_f64()).max(0.0);
         idle
     }
--- a/crates/scale/src/net/world.rs
+++ b/crates/scale/src/net/world.rs
@@ -84,6 +84,12 @@
         self.observer.borrow_mut().checker.told_all(self.now(), conductor, list);
     }
 
+    /// The whole list counts as told to a conductor, as far as it was not told yet.
+    pub fn told_rest(&self, conductor: ConductorIndex) {
+        let listed = self.fleet.borrow().snapshot().listed.clone();
+        self.observer.borrow_mut().checker.told_rest(self.now(), conductor, &listed);
+    }
+
     pub fn joined(&self, proxy: Proxy) {
         let mut observer = self.observer.borrow_mut();
         match proxy.behaviour {
--- a/crates/scale/tests/checker.rs
+++ b/crates/scale/tests/checker.rs
@@ -219,6 +219,20 @@
     assert_eq!(broken(checker, 13_400), only(Rule::Drain, 3));
 }
 
+#[test]
+fn a_list_that_never_arrived_counts_as_told() {
+    let mut checker = Checker::new(terms(), 1, PROXIES);
+    checker.answered(ms(0), CONDUCTOR);
+    checker.joined(ms(100), ProxyIndex(0), CONDUCTOR, RATE);
+    checker.told(ms(500), CONDUCTOR, NodeIndex(1), LEAVING);
+    assert_eq!(broken(checker.clone(), 5_900), BTreeMap::new());
+    checker.told_rest(ms(6_000), CONDUCTOR, &[READY; NODES as usize]);
+    assert_eq!(broken(checker.clone(), 9_300), BTreeMap::new());
+    // What it was told already stands: the drained node is still to be left alone.
+    checker.applied(ms(9_200), ProxyIndex(0), &message(vec![lines(true, &[(1, 1.0), (2, 1.0)])]));
+    assert_eq!(broken(checker, 9_400), only(Rule::Drain, 1));
+}
+
 #[test]
 fn a_node_that_is_back_may_be_used() {
     let mut checker = bound(terms());
--- a/crates/scale/tests/core.rs
+++ b/crates/scale/tests/core.rs
@@ -143,6 +143,11 @@
     assert!((slope.exponent - 1.5).abs() < 1e-9 && (slope.fit - 1.0).abs() < 1e-9);
     assert!((slope.at(20_000.0) / (0.003 * 20_000.0_f64.powf(1.5)) - 1.0).abs() < 1e-9);
     assert!((slope.smallest - 100.0).abs() < 1e-6 && (slope.largest - 66_000.0).abs() < 1e-6);
+    assert!((slope.last_exponent - 1.5).abs() < 1e-9);
+    // A part that does not grow hides the power where sizes are small.
+    let with_base: Vec<(f64, f64)> = points.iter().map(|(size, figure)| (*size, figure + 1_000.0)).collect();
+    let slope = Slope::through(&with_base).expect("four points");
+    assert!(slope.exponent < 0.9 && slope.last_exponent > 1.2, "{slope:?}");
     let flat = Slope::through(&[(1.0, 2.0), (10.0, 2.0), (100.0, 2.0)]).expect("three points");
     assert_eq!((flat.exponent, flat.fit), (0.0, 1.0));
     assert_eq!(Slope::through(&points[..2]), None);
