Scale run: drains while proxies join, standing tables, and a channel that may bind

Rule 3 is most in danger while a fleet joins, and a proxy brings a table of its own drawing, which a drain must be kept for as well. Why a conductor ended streams stands in its counters, which the report keeps.

--- a/crates/scale/src/cli.rs
+++ b/crates/scale/src/cli.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use oatpitch_scale::core::plan::Plan;
+use oatpitch_scale::core::plan::{Plan, UNBOUND_LINES_MOST, UNBOUND_LINES_PER_SECOND};
 use oatpitch_scale::core::slopes::Axis;
 
 #[derive(Parser)]
@@ -80,7 +80,7 @@
     #[arg(long, default_value_t = 3)]
     zones: u32,
     /// How many conductors at once.
-    #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 1_000])]
+    #[arg(long, value_delimiter = ',', default_values_t = [10, 50, 200, 1_000])]
     pub conductors: Vec<u32>,
     /// The number that the slopes are taken to.
     #[arg(long, default_value_t = 20_000)]
@@ -91,7 +91,7 @@
     #[arg(long, default_value_t = 20)]
     drains: u32,
     /// The longest time of each number of conductors.
-    #[arg(long, default_value_t = 60.0)]
+    #[arg(long, default_value_t = 180.0)]
     seconds: f64,
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -137,11 +137,19 @@
     proxies: u16,
     #[arg(long, default_value_t = 1)]
     conductors: u16,
+    /// Nodes set to leaving all at once while the proxies join.
+    #[arg(long, default_value_t = 0)]
+    drains_at_joining: u32,
     /// Nodes set to leaving one after another.
     #[arg(long, default_value_t = 20)]
     drains: u32,
     #[arg(long, default_value_t = 2.5)]
     drains_per_second: f64,
+    /// Lines a second that a conductor's channel sends, and lines that may wait in it; neither binds as it stands.
+    #[arg(long, default_value_t = UNBOUND_LINES_PER_SECOND)]
+    channel_lines: f64,
+    #[arg(long, default_value_t = UNBOUND_LINES_MOST)]
+    channel_backlog: f64,
     /// The longest time of one point; what is not done by then is marked as not served.
     #[arg(long, default_value_t = 60.0)]
     seconds: f64,
@@ -153,6 +161,9 @@
     settle_seconds: f64,
     #[arg(long, default_value_t = 5.0)]
     idle_seconds: f64,
+    /// The most nodes in the table that each proxy draws from the list at its start.
+    #[arg(long, default_value_t = 6)]
+    standing: u16,
     /// Share of the proxies that neither read nor answer, and of those that read and answer no mark.
     #[arg(long, default_value_t = 0.0)]
     hang: f64,
@@ -170,12 +181,16 @@
         Plan {
             proxies: self.proxies,
             conductors: self.conductors,
+            drains_at_joining: self.drains_at_joining,
+            channel_lines_per_second: self.channel_lines,
+            channel_lines_most: self.channel_backlog,
             drains: self.drains,
             drains_per_second: self.drains_per_second,
             bound_seconds: self.seconds,
             memory_mb: self.memory_mb,
             settle_seconds: self.settle_seconds,
             idle_seconds: self.idle_seconds,
+            standing: self.standing,
             hang_share: self.hang,
             mute_share: self.mute,
             restart: !self.no_restart,
--- a/crates/scale/src/core/checker.rs
+++ b/crates/scale/src/core/checker.rs
@@ -9,6 +9,7 @@
 use super::fleet::{Listed, NodeState};
 use super::ids::{ClassIndex, ConductorIndex, Micros, NodeIndex, ProxyIndex};
 use super::message::Message;
+use super::order::Part;
 use super::proxy_table::ProxyTable;
 use super::terms::Terms;
 
@@ -289,6 +290,14 @@
         }
     }
 
+    /// A proxy has started, with a table of its own drawing.
+    pub fn stands(&mut self, now: Micros, proxy: ProxyIndex, nodes: &[NodeIndex]) {
+        self.advance(now);
+        let lines = nodes.iter().map(|node| (*node, 1.0)).collect();
+        let drawn = Part { full: true, lines, ..Part::default() };
+        self.proxy_mut(proxy).into_iter().for_each(|known| known.table.apply(&drawn));
+    }
+
     /// A proxy has joined a conductor; `rate` is what it says of its requests a second.
     pub fn joined(&mut self, now: Micros, proxy: ProxyIndex, conductor: ConductorIndex, rate: f64) {
         self.advance(now);
--- a/crates/scale/src/core/fleet.rs
+++ b/crates/scale/src/core/fleet.rs
@@ -123,6 +123,19 @@
         self.nodes.get(node.0 as usize).map(|node| node.zone)
     }
 
+    /// So many nodes at most, drawn by chance from those that are active: of one zone, if three are there.
+    pub fn draw(&self, zone: u32, most: u16, chance: &mut fastrand::Rng) -> Vec<NodeIndex> {
+        const ZONE_LEAST: usize = 3;
+        let all = || (0..self.nodes.len()).map(|node| NodeIndex(node as u32));
+        let active =
+            |node: &NodeIndex| self.listed(*node).is_some_and(|listed| listed.state == NodeState::Active);
+        // Nodes are dealt to the zones by turns.
+        let zone_nodes = all().skip(zone as usize).step_by(self.zones.len().max(1));
+        let near: Vec<NodeIndex> = zone_nodes.filter(active).collect();
+        let drawn = if near.len() >= ZONE_LEAST { near } else { all().filter(active).collect() };
+        chance.choose_multiple(drawn, usize::from(most))
+    }
+
     /// Changes one node, which makes a version of its own. A node that is not of the fleet changes nothing.
     pub fn apply(&mut self, change: Change) {
         let Some(node) = self.nodes.get_mut(change.node.0 as usize) else { return };
--- a/crates/scale/src/core/observer.rs
+++ b/crates/scale/src/core/observer.rs
@@ -109,11 +109,12 @@
         }
     }
 
-    /// Joined proxies that are waited for and use a node.
+    /// Joined proxies that are waited for and use a node, or may be about to, as their table is still to come.
     fn users(&self, node: NodeIndex) -> BTreeSet<ProxyIndex> {
         let joined = |(_, proxy): &(ProxyIndex, &Proxy)| proxy.joined && !proxy.hangs;
-        let uses = |proxy: &ProxyIndex| self.table(*proxy).is_some_and(|table| table.uses(node));
-        self.numbered().filter(joined).map(|(proxy, _)| proxy).filter(uses).collect()
+        let uses = |proxy: ProxyIndex| self.table(proxy).is_some_and(|table| table.uses(node));
+        let users = self.numbered().filter(joined).filter(|(proxy, known)| !known.bound || uses(*proxy));
+        users.map(|(proxy, _)| proxy).collect()
     }
 
     fn numbered(&self) -> impl Iterator<Item = (ProxyIndex, &Proxy)> {
@@ -124,6 +125,11 @@
         self.checker.table(proxy)
     }
 
+    /// Proxies that have not joined yet.
+    pub fn not_joined(&self) -> usize {
+        self.proxies.iter().filter(|proxy| !proxy.joined).count()
+    }
+
     /// Proxies that have no whole table of their stream yet, of those that are waited for.
     pub fn unbound(&self) -> usize {
         self.proxies.iter().filter(|proxy| !proxy.hangs && !proxy.bound).count()
--- a/crates/scale/src/core/plan.rs
+++ b/crates/scale/src/core/plan.rs
@@ -2,6 +2,10 @@
 
 use serde::Serialize;
 
+/// A channel that holds up nobody.
+pub const UNBOUND_LINES_PER_SECOND: f64 = 1e9;
+pub const UNBOUND_LINES_MOST: f64 = 1e10;
+
 /// One point of a grid.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Plan {
@@ -12,10 +16,14 @@
     /// Real conductors; proxies are spread evenly over them.
     pub conductors: u16,
     pub proxies: u16,
+    /// The most nodes in the table that each proxy draws from the list at its start, before anything is ordered.
+    pub standing: u16,
     /// Share of the proxies that neither read nor answer.
     pub hang_share: f64,
     /// Share of the proxies that read, and never answer a mark.
     pub mute_share: f64,
+    /// Nodes set to leaving all at once while the proxies join.
+    pub drains_at_joining: u32,
     /// Nodes set to leaving one after another, and how many a second.
     pub drains: u32,
     pub drains_per_second: f64,
@@ -27,6 +35,9 @@
     pub seed: u64,
     /// What the conductor is told of its memory, in MiB.
     pub memory_mb: u32,
+    /// Of the settings: lines a second that the channel sends, and lines that may wait in it.
+    pub channel_lines_per_second: f64,
+    pub channel_lines_most: f64,
     /// Quiet time before the idle share is measured, and how long that is measured.
     pub settle_seconds: f64,
     pub idle_seconds: f64,
@@ -43,8 +54,10 @@
             zones: 3,
             conductors: 1,
             proxies: 7,
+            standing: 6,
             hang_share: 0.0,
             mute_share: 0.0,
+            drains_at_joining: 0,
             drains: 20,
             drains_per_second: 2.5,
             churn_per_second: 0.0,
@@ -52,6 +65,8 @@
             restart: true,
             seed: 1,
             memory_mb: 256,
+            channel_lines_per_second: UNBOUND_LINES_PER_SECOND,
+            channel_lines_most: UNBOUND_LINES_MOST,
             settle_seconds: 3.0,
             idle_seconds: 5.0,
             bound_seconds: 60.0,
--- a/crates/scale/src/core/report.rs
+++ b/crates/scale/src/core/report.rs
@@ -81,6 +81,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct OutsideFigures {
     pub list_bytes: u64,
+    /// Drains while the proxies joined: to the last proxy, and those that some proxy had not got in time.
+    pub joining_drains: Spread,
+    pub joining_drains_not_reached: u64,
     pub joining_bytes_per_proxy: f64,
     pub joining_messages_per_proxy: f64,
     pub bytes_to_proxies: u64,
@@ -118,6 +121,8 @@
     pub seconds: f64,
     pub conductor: ConductorFigures,
     pub outside: OutsideFigures,
+    /// The counters that each conductor logged at its end.
+    pub counters: Vec<String>,
     /// Why it failed, or the conductor's last lines where it ended or did not serve.
     pub notes: Vec<String>,
 }
@@ -132,6 +137,7 @@
             seconds: 0.0,
             conductor: ConductorFigures::default(),
             outside: OutsideFigures::default(),
+            counters: Vec::new(),
             notes: Vec::new(),
         }
     }
@@ -201,6 +207,18 @@
         of: |point| point.conductor.tables_seconds,
         unit: Unit::Seconds,
     },
+    Figure {
+        heading: "drain while joining to last proxy, longest",
+        of: |point| (point.plan.drains_at_joining > 0).then_some(point.outside.joining_drains.longest_ms),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "of them not reached",
+        of: |point| {
+            (point.plan.drains_at_joining > 0).then_some(point.outside.joining_drains_not_reached as f64)
+        },
+        unit: Unit::Count,
+    },
     Figure {
         heading: "CPU of start and joining",
         of: |point| Some(point.conductor.start_cpu_seconds),
@@ -263,11 +281,21 @@
         unit: Unit::Seconds,
     },
     Figure { heading: "peak", of: |point| Some(point.conductor.peak_memory_mb), unit: Unit::Megabytes },
+    Figure {
+        heading: "proxies without a table",
+        of: |point| Some(point.outside.proxies_without_table as f64),
+        unit: Unit::Count,
+    },
     Figure {
         heading: "proxies without a line",
         of: |point| Some(point.outside.proxies_without_line as f64),
         unit: Unit::Count,
     },
+    Figure {
+        heading: "streams ended by the conductor",
+        of: |point| Some(point.outside.streams_ended as f64),
+        unit: Unit::Count,
+    },
     Figure {
         heading: "breaks of rules",
         of: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
--- a/crates/scale/src/core/settings.rs
+++ b/crates/scale/src/core/settings.rs
@@ -1,5 +1,4 @@
-//! The settings that all conductors of a point are given: the stand-ins' own, with the point's zones and a channel that
-//! holds up nobody.
+//! The settings that all conductors of a point are given: the stand-ins' own, with the point's zones and channel.
 
 use anyhow::Result;
 use oatpitch::interface::Mandate;
@@ -13,16 +12,13 @@
 pub const CLASSES: [&str; 2] = ["quote", "advance"];
 /// A message's way from the channel to its proxy.
 pub const WAY: Micros = Micros::from_millis(200);
-/// Lines a second of a channel that holds up nobody, and lines that may wait in it.
-const CHANNEL_LINES_PER_SECOND: f64 = 1e9;
-const CHANNEL_LINES_MOST: f64 = 1e10;
 
 pub fn settings(plan: &Plan) -> Value {
     let mut settings = oatpitch_standins::conductor::settings(plan.proxies.into());
     settings["azs"] = json!(zone_names(plan));
     let specifics = &mut settings["specifics"];
-    specifics["egress_per_s"] = json!(CHANNEL_LINES_PER_SECOND);
-    specifics["pending_max"] = json!(CHANNEL_LINES_MOST);
+    specifics["egress_per_s"] = json!(plan.channel_lines_per_second);
+    specifics["pending_max"] = json!(plan.channel_lines_most);
     specifics["push_delay_us"] = json!(WAY.0);
     settings
 }
--- a/crates/scale/src/core/slopes.rs
+++ b/crates/scale/src/core/slopes.rs
@@ -67,7 +67,11 @@
                 let churn_seconds = (2.0 / size).max(base.churn_seconds);
                 Plan { drains: 0, restart: false, churn_per_second: size, churn_seconds, ..base.clone() }
             }
-            Axis::Conductors => Plan { conductors: size as u16, ..base.clone() },
+            // Each has as many proxies as one alone.
+            Axis::Conductors => {
+                let proxies = base.proxies.saturating_mul(size as u16);
+                Plan { conductors: size as u16, proxies, ..base.clone() }
+            }
         }
     }
 }
--- a/crates/scale/src/net/conductor.rs
+++ b/crates/scale/src/net/conductor.rs
@@ -24,6 +24,9 @@
 /// How often a conductor that gives no sign of life is asked again, and how long one answer is waited for.
 const PROBE_PAUSE: Duration = Duration::from_millis(5);
 const PROBE_LONGEST: Duration = Duration::from_millis(1_200);
+/// How long it may take to end in good order, and what marks its line of counters.
+const STOP_LONGEST: Duration = Duration::from_secs(2);
+const COUNTERS: &str = "counters: ";
 /// Lines of the log that a report keeps.
 const LOG_LINES: usize = 5;
 
@@ -87,6 +90,20 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Asks it to end, and gives the counters that it logs then.
+    pub fn stop(&mut self) -> Option<String> {
+        let asked = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        let until = Instant::now() + STOP_LONGEST;
+        while asked.as_ref().is_ok_and(|status| status.success()) && Instant::now() < until {
+            if self.has_ended() {
+                break;
+            }
+            std::thread::sleep(PROBE_PAUSE);
+        }
+        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        log.lines().rfind(|line| line.contains(COUNTERS)).map(String::from)
+    }
+
     /// The last lines of its log.
     pub fn last_lines(&self) -> Vec<String> {
         let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -31,6 +31,8 @@
 /// How long the last changes may take to reach all proxies, and the quiet after that still counts as theirs.
 const LAST_CHANGES: Duration = Duration::from_secs(5);
 const CHANGES_TAIL: Duration = Duration::from_secs(2);
+/// How long all proxies may take to dial before nodes are drained all the same.
+const ALL_DIALLED: Duration = Duration::from_secs(2);
 /// As the protocol has it.
 const TOLD_LATEST: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(5);
@@ -67,6 +69,13 @@
     report.borrow().clone()
 }
 
+/// One of a point's drains; they are spread over the whole list.
+fn leaving(plan: &Plan, drain: u32) -> Change {
+    let count = u64::from((plan.drains_at_joining + plan.drains).max(1));
+    let node = NodeIndex((u64::from(drain) * u64::from(plan.nodes) / count) as u32);
+    Change { node, listed: Listed { state: NodeState::Leaving, started: None } }
+}
+
 /// Whatever discovery has to tell counts as told by then, whether it arrived or not.
 async fn told_at_the_latest(world: Rc<World>) {
     tokio::time::sleep(TOLD_LATEST).await;
@@ -197,11 +206,24 @@
             let proxy = Proxy { index: ProxyIndex(index), conductor, address, behaviour };
             self.tasks.spawn_local(proxy::run(self.world.clone(), proxy));
         }
+        if plan.drains_at_joining > 0 {
+            while self.world.observer.borrow().not_joined() > 0 && joining.elapsed() < ALL_DIALLED {
+                tokio::time::sleep(PAUSE).await;
+            }
+            (0..plan.drains_at_joining).for_each(|drain| self.world.change(leaving(&plan, drain)));
+        }
         let longest = Duration::from_secs_f64(plan.bound_seconds * JOINING_SHARE);
         let bound = self.until_bound(joining + longest).await?;
         if bound {
             self.report.borrow_mut().conductor.tables_seconds = Some(joining.elapsed().as_secs_f64());
         }
+        if plan.drains_at_joining > 0 {
+            self.until_reached().await;
+            let propagation = std::mem::take(&mut self.world.observer.borrow_mut().propagation);
+            let outside = &mut self.report.borrow_mut().outside;
+            outside.joining_drains = propagation.last_proxy();
+            outside.joining_drains_not_reached = propagation.open().count() as u64;
+        }
         Ok(bound)
     }
 
@@ -257,9 +279,7 @@
         for drain in 0..plan.drains {
             let due = began + Duration::from_secs_f64(f64::from(drain) / plan.drains_per_second);
             tokio::time::sleep_until(due).await;
-            let node = NodeIndex((u64::from(drain) * u64::from(plan.nodes) / u64::from(plan.drains)) as u32);
-            let listed = Listed { state: NodeState::Leaving, started: None };
-            self.world.change(Change { node, listed });
+            self.world.change(leaving(&plan, plan.drains_at_joining + drain));
         }
         self.until_reached().await;
         tokio::time::sleep(CHANGES_TAIL).await;
@@ -362,6 +382,7 @@
             let lines = self.conductors.iter().flat_map(Conductor::last_lines);
             report.notes.extend(lines);
         }
+        report.counters = self.conductors.iter_mut().filter_map(Conductor::stop).collect();
         let observer = self.world.observer.borrow();
         let (outside, traffic) = (&mut report.outside, observer.traffic);
         outside.list_bytes = self.world.fleet.borrow().snapshot().document.len() as u64;
--- a/crates/scale/src/net/proxy.rs
+++ b/crates/scale/src/net/proxy.rs
@@ -47,6 +47,7 @@
 /// Joins, follows, and joins again when the stream breaks, until it is dropped.
 pub async fn run(world: Rc<World>, proxy: Proxy) {
     let mut fresh = true;
+    world.started(proxy);
     let pause = REDIAL + Duration::from_millis(u64::from(proxy.index.0) * 7 % REDIAL_SPREAD);
     loop {
         if let Ok(stream) = join(&world, proxy, fresh).await {
--- a/crates/scale/src/net/world.rs
+++ b/crates/scale/src/net/world.rs
@@ -90,6 +90,14 @@
         self.observer.borrow_mut().checker.told_rest(self.now(), conductor, &listed);
     }
 
+    /// A proxy has started: it draws its standing table from the list.
+    pub fn started(&self, proxy: Proxy) {
+        let mut chance = fastrand::Rng::with_seed(self.plan.seed ^ u64::from(proxy.index.0));
+        let zone = u32::from(proxy.index.0) % self.plan.zones.max(1);
+        let nodes = self.fleet.borrow().draw(zone, self.plan.standing, &mut chance);
+        self.observer.borrow_mut().checker.stands(self.now(), proxy.index, &nodes);
+    }
+
     pub fn joined(&self, proxy: Proxy) {
         let mut observer = self.observer.borrow_mut();
         match proxy.behaviour {
--- a/crates/scale/tests/core.rs
+++ b/crates/scale/tests/core.rs
@@ -57,6 +57,21 @@
     assert_eq!(parse(&fleet.current().document)["targets"][0]["state"], "leaving");
 }
 
+#[test]
+fn a_proxy_draws_its_standing_table_near_by_where_it_can() {
+    let mut fleet = Fleet::new(&Plan { nodes: 20, zones: 4, ..Plan::default() }, EPOCH_MS);
+    let drawn = |fleet: &Fleet, most| fleet.draw(1, most, &mut fastrand::Rng::with_seed(7));
+    assert_eq!((drawn(&fleet, 3).len(), drawn(&fleet, 9).len(), drawn(&fleet, 0).len()), (3, 5, 0));
+    assert!(drawn(&fleet, 9).iter().all(|node| fleet.zone(*node) == Some(1)));
+    assert_eq!(drawn(&fleet, 3), drawn(&fleet, 3));
+    for node in [1, 5, 9].map(NodeIndex) {
+        fleet.apply(Change { node, listed: LEAVING });
+    }
+    let far = drawn(&fleet, 20);
+    assert_eq!(far.len(), 17);
+    assert!(far.iter().all(|node| ![1, 5, 9].contains(&node.0)));
+}
+
 #[test]
 fn names_lead_back_to_their_nodes() {
     for node in [0, 7, 65_999, u32::MAX] {
