--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,102 @@
+//! `oatpitch-scale`: runs conductors before a whole fleet on loopback, and prints what they cost.
+
+mod cli;
+
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use cli::{Command, Hollow, Line, Slopes, Usual};
+use oatpitch_scale::core::hollow_report;
+use oatpitch_scale::core::plan::Plan;
+use oatpitch_scale::core::report::{Outcome, PointReport, RunReport, markdown};
+use oatpitch_scale::core::slopes::AxisReport;
+use oatpitch_scale::net::proc_fs::load;
+use oatpitch_scale::net::{hollow, point};
+use serde::Serialize;
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Run(run) => points(&run.plans(), &run.usual),
+        Command::Table(table) => points(&table.plans(), &table.usual),
+        Command::Slopes(command) => slopes(&command),
+        Command::Hollow(command) => hollow_conductors(&command),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(trouble) => {
+            eprintln!("oatpitch-scale: {trouble:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn points(plans: &[Plan], usual: &Usual) -> Result<()> {
+    let load = load();
+    let points = measure(plans, &usual.programs()?);
+    print!("{}", markdown(&points));
+    write_json(usual.json.as_deref(), load, points)
+}
+
+fn slopes(command: &Slopes) -> Result<()> {
+    let (load, programs) = (load(), command.usual.programs()?);
+    let mut reports = Vec::new();
+    for (axis, plans) in command.plans() {
+        eprintln!("along {}", axis.name());
+        let report = AxisReport::new(axis, measure(&plans, &programs));
+        println!("## {}\n\n{}\n{}", axis.name(), markdown(&report.points), report.markdown());
+        let interrupted = is_interrupted(&report.points);
+        reports.push(report);
+        if interrupted {
+            break;
+        }
+    }
+    write_json(command.usual.json.as_deref(), load, reports)
+}
+
+fn hollow_conductors(command: &Hollow) -> Result<()> {
+    let (load, plan, before_mb) = (load(), command.plan(), hollow::own_memory_mb());
+    let mut reports = Vec::new();
+    for conductors in &command.conductors {
+        reports.push(hollow::measure(&plan, *conductors, before_mb, |what| eprintln!("{what}"))?);
+    }
+    print!("{}", hollow_report::markdown(&reports, command.beyond));
+    write_json(command.json.as_deref(), load, reports)
+}
+
+/// Measures every program at every point, one after another, until it is interrupted.
+fn measure(plans: &[Plan], programs: &[PathBuf]) -> Vec<PointReport> {
+    let count = plans.len() * programs.len();
+    let mut points: Vec<PointReport> = Vec::new();
+    for plan in plans {
+        for program in programs {
+            if is_interrupted(&points) {
+                return points;
+            }
+            let place = points.len() + 1;
+            points.push(point::measure(program, plan, move |what| eprintln!("[{place}/{count}] {what}")));
+        }
+    }
+    points
+}
+
+fn is_interrupted(points: &[PointReport]) -> bool {
+    points.last().is_some_and(|point| point.outcome == Outcome::Interrupted)
+}
+
+fn write_json<T: Serialize>(path: Option<&Path>, load_at_start: Option<f64>, results: Vec<T>) -> Result<()> {
+    let Some(path) = path else { return Ok(()) };
+    let report = RunReport {
+        command: std::env::args().collect(),
+        cores: std::thread::available_parallelism().map_or(0, usize::from),
+        load_at_start,
+        load_at_end: load(),
+        results,
+    };
+    let mut file = File::create(path).with_context(|| path.display().to_string())?;
+    serde_json::to_writer_pretty(&mut file, &report)?;
+    Ok(writeln!(file)?)
+}
