A whole table of any length is taken by an outbox, and a shared one counts once

An outbox ended its stream when what waits and what comes were over 1 MiB together, so a table over some 30,000 lines reached nobody, however fast they read. What counts now is what the other end has left unread behind the message that is on its way. That message does not count, as changes come within a tick of a long table whose bytes the system has not all taken: otherwise a fleet that joins at once would be ended by the next flush.

Of the memory a message was charged to each connection that it went to, though its bytes are shared: a hundred proxies sent one table of 2 MB were over the eighth of 256 MiB. It is charged once, until the last outbox is done with it.

Buffers and outboxes have modules of their own.

--- a/crates/conductor/src/run/accept.rs
+++ b/crates/conductor/src/run/accept.rs
@@ -11,7 +11,8 @@
 
 use super::connection::{Conn, ConnIds, Conns};
 use crate::wire::limits;
-use crate::wire::stream::{self, Entered, Reader};
+use crate::wire::outbox::{self, Entered};
+use crate::wire::stream::{self, Reader};
 
 /// Accepts connections, while there is a place for more.
 pub struct Acceptor {
@@ -56,7 +57,7 @@
         let conn = self.ids.next();
         // A connection already broken tells so when it is read.
         let _ = socket.set_nodelay(true);
-        let (read, outbox, writing) = stream::split(socket, &self.reader.budget, self.entered.clone());
+        let (read, outbox, writing) = outbox::split(socket, &self.reader.budget, self.entered.clone());
         let place = Rc::new(Place::take(&self.places));
         // The memory hears of it before anything that it says, and can end it from then on.
         let opened = self.reader.inbox.reserve().await.ok()?;
--- a/crates/conductor/src/run/connection.rs
+++ b/crates/conductor/src/run/connection.rs
@@ -9,7 +9,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::wire::limits;
-use crate::wire::stream::Outbox;
+use crate::wire::outbox::Outbox;
 
 /// Gives each connection its number, in the order of their coming.
 #[derive(Clone, Default)]
--- a/crates/conductor/src/run/effects.rs
+++ b/crates/conductor/src/run/effects.rs
@@ -18,9 +18,10 @@
 
 use super::config::Peers;
 use super::connection::{Conn, Conns};
+use crate::wire::budget::{self, Budget};
 use crate::wire::heard::Terms;
 use crate::wire::limits::Room;
-use crate::wire::stream::Entered;
+use crate::wire::outbox::Entered;
 use crate::wire::{push, roster};
 
 /// What the effects act on. Nothing is decided by it.
@@ -30,6 +31,7 @@
     pub conns: Conns,
     pub terms: Rc<Terms>,
     pub room: Room,
+    pub budget: Budget,
     pub discovery: SocketAddr,
     /// What is asked of discovery, by its number.
     pub asked: BTreeMap<u64, AbortHandle>,
@@ -51,7 +53,7 @@
         for effect in effects {
             match effect {
                 Effect::Order(to, message) => clogged.extend(self.order(to, &message, counters)),
-                Effect::Alive(conn) => clogged.extend(self.write(conn, Bytes::from_static(push::ALIVE), 0.0)),
+                Effect::Alive(conn) => clogged.extend(self.alive(conn)),
                 Effect::End(conn) => self.end(conn),
                 Effect::Dismiss(conn) => self.dismiss(conn),
                 Effect::Watch { number, since } => self.watch(number, since),
@@ -84,7 +86,12 @@
             return Vec::new();
         }
         let bytes = push::encode(&message.parts, &self.terms.classes, counters);
-        to.into_iter().filter_map(|conn| self.write(conn, bytes.clone(), lines)).collect()
+        let message = self.budget.message(bytes);
+        to.into_iter().filter_map(|conn| self.write(conn, message.clone(), lines)).collect()
+    }
+
+    fn alive(&self, conn: ConnId) -> Option<Input> {
+        self.write(conn, self.budget.message(Bytes::from_static(push::ALIVE)), 0.0)
     }
 
     fn end(&self, conn: ConnId) {
@@ -105,7 +112,7 @@
     }
 
     /// What is to be told of a connection whose outbox is full.
-    fn write(&self, conn: ConnId, message: Bytes, lines: f64) -> Option<Input> {
+    fn write(&self, conn: ConnId, message: budget::Message, lines: f64) -> Option<Input> {
         let Some(written) = self.conns.borrow().get(&conn).map(|conn| conn.outbox.write(message, lines))
         else {
             self.enter(lines);
--- a/crates/conductor/src/run/serve/start.rs
+++ b/crates/conductor/src/run/serve/start.rs
@@ -25,9 +25,11 @@
 use crate::run::hooks::{self, Hooks};
 use crate::run::signals::Signals;
 use crate::run::{channel, peers};
+use crate::wire::budget::Budget;
 use crate::wire::heard::Terms;
 use crate::wire::limits;
-use crate::wire::stream::{self, Budget, Entered, Reader};
+use crate::wire::outbox::Entered;
+use crate::wire::stream::{self, Reader};
 
 /// What a conductor listens on.
 pub struct Sockets {
@@ -159,12 +161,14 @@
         proxies: posting.charge.mandate.proxies,
         longest: limits::mean_longest(&posting.charge.mandate),
     };
+    let room = limits::room(posting.memory_mb, posting.sockets);
     Hands {
         log: log.clone(),
         inbox: inbox.clone(),
         conns: Conns::default(),
         terms: Rc::new(terms),
-        room: limits::room(posting.memory_mb, posting.sockets),
+        room,
+        budget: Budget::of(room),
         discovery: posting.discovery,
         asked: BTreeMap::new(),
         peers: posting.peers.clone(),
@@ -179,7 +183,7 @@
 /// Starts the tasks that take connections and datagrams.
 fn listen(sockets: Sockets, hands: &Hands, posting: &Posting, ids: ConnIds) {
     let reader =
-        Reader { terms: hands.terms.clone(), inbox: hands.inbox.clone(), budget: Budget::of(hands.room) };
+        Reader { terms: hands.terms.clone(), inbox: hands.inbox.clone(), budget: hands.budget.clone() };
     let acceptor = Acceptor {
         listener: sockets.listener,
         reader,
--- a/crates/conductor/src/wire/limits.rs
+++ b/crates/conductor/src/wire/limits.rs
@@ -8,7 +8,8 @@
 pub const LINE_LONGEST: usize = 1 << 20;
 /// Room for one read, in bytes: several usual messages, and little for each of many strangers.
 pub const READ_ROOM: usize = 4 << 10;
-/// Bytes that may wait for one connection beyond what the system holds: minutes of usual flushes.
+/// Bytes that may wait for one connection behind the message that is being written, and beyond what the system
+/// holds, when more comes: minutes of usual flushes. A whole table may be of any length.
 pub const OUTBOX_MOST: usize = 1 << 20;
 /// Memory where none is stated, and the least that is of use, in MiB: a conductor of thirty nodes and a few
 /// hundred proxies holds 2, and the shares below must leave it the rest.
@@ -24,7 +25,8 @@
     /// Held for one connection, either way, beyond which all connections share what follows: several usual
     /// messages, and for all together at most an eighth of the memory.
     pub usual: usize,
-    /// What buffers beyond the usual may hold together: an eighth; one of the longest lines always fits.
+    /// What buffers beyond the usual may hold together: an eighth; one of the longest lines always fits. A message
+    /// counts once, however many it goes to.
     pub shared: usize,
     /// The longest document of discovery: a sixteenth, or less where the connections leave less. Its entries take about as much again while it is read: at
     /// 160 bytes each 80,000 fit 192 MiB, and 110,000 fit 256 MiB.
--- a/crates/conductor/src/wire/mod.rs
+++ b/crates/conductor/src/wire/mod.rs
@@ -3,8 +3,10 @@
 
 use oatpitch::interface::Time;
 
+pub mod budget;
 pub mod heard;
 pub mod limits;
+pub mod outbox;
 pub mod peers;
 pub mod push;
 pub mod roster;
--- /dev/null
+++ b/crates/conductor/src/wire/outbox.rs
@@ -0,0 +1,119 @@
+//! What waits to be written on a connection, and the writing of it.
+
+#[cfg(test)]
+mod tests;
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+
+use super::budget::{Budget, Message};
+use super::limits;
+
+/// Lines that have entered the channel since it was last asked: their message has been taken by the system, or
+/// its connection is over.
+pub type Entered = Rc<Cell<f64>>;
+
+/// What is still to be written on a connection, and the lines that it counts in the channel.
+struct Queued {
+    /// Bytes of each message, the one that is being written first.
+    lengths: VecDeque<usize>,
+    /// Their sum.
+    bytes: usize,
+    lines: f64,
+    entered: Entered,
+    budget: Budget,
+    /// A message was too much: none goes out after it, as changes would be applied over a gap.
+    refused: bool,
+}
+
+impl Queued {
+    /// Whether the other end has left too much unread for more to be taken: behind the message that is being
+    /// written, which may be a whole table of any length, or of what all connections may hold together.
+    fn is_full(&self) -> bool {
+        let behind = self.bytes - self.lengths.front().copied().unwrap_or_default();
+        behind > limits::OUTBOX_MOST || self.bytes > self.budget.usual() && self.budget.is_exceeded()
+    }
+
+    fn push(&mut self, length: usize) {
+        self.lengths.push_back(length);
+        self.bytes += length;
+    }
+
+    /// The message that was being written has been taken by the system.
+    fn pop(&mut self, lines: f64) {
+        self.bytes -= self.lengths.pop_front().unwrap_or_default();
+        self.enter(lines);
+    }
+
+    fn enter(&mut self, lines: f64) {
+        self.lines -= lines;
+        self.entered.set(self.entered.get() + lines);
+    }
+}
+
+impl Drop for Queued {
+    /// What was not written never enters the channel; it must not be reckoned with for good.
+    fn drop(&mut self) {
+        self.enter(self.lines);
+    }
+}
+
+pub struct Outbox {
+    sender: mpsc::UnboundedSender<(Message, f64)>,
+    queued: Rc<RefCell<Queued>>,
+}
+
+impl Outbox {
+    /// Queues a message, whole, that counts so many lines; false if the other end has left too much unread before.
+    pub fn write(&self, message: Message, lines: f64) -> bool {
+        let queued = &mut *self.queued.borrow_mut();
+        queued.lines += lines;
+        queued.refused |= queued.is_full();
+        if queued.refused {
+            return false;
+        }
+        queued.push(message.bytes.len());
+        // Where the writing has failed, the reading ends too and tells.
+        let _ = self.sender.send((message, lines));
+        true
+    }
+
+    /// Whether all that still waits is an answer of life, which counts no lines.
+    pub fn owes_sign(&self) -> bool {
+        let queued = self.queued.borrow();
+        queued.bytes > 0 && queued.lines < 1.0 && !queued.refused
+    }
+}
+
+/// Splits a connection; the future writes what the outbox is given.
+pub fn split(
+    stream: TcpStream,
+    budget: &Budget,
+    entered: Entered,
+) -> (OwnedReadHalf, Outbox, impl Future<Output = ()> + use<>) {
+    let (read, write) = stream.into_split();
+    let (sender, messages) = mpsc::unbounded_channel();
+    let (lengths, budget) = (VecDeque::new(), budget.clone());
+    let queued = Queued { lengths, bytes: 0, lines: 0.0, entered, budget, refused: false };
+    let queued = Rc::new(RefCell::new(queued));
+    (read, Outbox { sender, queued: queued.clone() }, write_all(write, messages, queued))
+}
+
+async fn write_all(
+    mut stream: OwnedWriteHalf,
+    mut messages: mpsc::UnboundedReceiver<(Message, f64)>,
+    queued: Rc<RefCell<Queued>>,
+) {
+    while let Some((message, lines)) = messages.recv().await {
+        if stream.write_all(&message.bytes).await.is_err() {
+            break;
+        }
+        queued.borrow_mut().pop(lines);
+    }
+}
