--- a/crates/conductor/src/run/serve/start.rs
+++ b/crates/conductor/src/run/serve/start.rs
@@ -25,9 +25,11 @@
 use crate::run::hooks::{self, Hooks};
 use crate::run::signals::Signals;
 use crate::run::{channel, peers};
+use crate::wire::budget::Budget;
 use crate::wire::inbound::Terms;
 use crate::wire::limits;
-use crate::wire::stream::{self, Budget, Entered, Reader};
+use crate::wire::outbox::Entered;
+use crate::wire::stream::{self, Reader};
 
 /// What a conductor listens on.
 pub struct Sockets {
@@ -159,12 +161,14 @@
         proxies: posting.charge.mandate.proxies,
         longest: limits::mean_longest(&posting.charge.mandate),
     };
+    let room = limits::room(posting.memory_mb, posting.sockets);
     EffectRunner {
         log: log.clone(),
         inbox: inbox.clone(),
         conns: Conns::default(),
         terms: Rc::new(terms),
-        room: limits::room(posting.memory_mb, posting.sockets),
+        room,
+        budget: Budget::of(room),
         discovery: posting.discovery,
         asked: BTreeMap::new(),
         peers: posting.peers.clone(),
@@ -177,22 +181,19 @@
 }
 
 /// Starts the tasks that take connections and datagrams.
-fn listen(sockets: Sockets, effect_runner: &EffectRunner, posting: &Posting, ids: ConnIds) {
-    let reader = Reader {
-        terms: effect_runner.terms.clone(),
-        inbox: effect_runner.inbox.clone(),
-        budget: Budget::of(effect_runner.room),
-    };
+fn listen(sockets: Sockets, effects: &EffectRunner, posting: &Posting, ids: ConnIds) {
+    let reader =
+        Reader { terms: effects.terms.clone(), inbox: effects.inbox.clone(), budget: effects.budget.clone() };
     let acceptor = Acceptor {
         listener: sockets.listener,
         reader,
-        conns: effect_runner.conns.clone(),
-        entered: effect_runner.entered.clone(),
+        conns: effects.conns.clone(),
+        entered: effects.entered.clone(),
         places: Rc::new(Semaphore::new(places(posting))),
         ids,
     };
     spawn_local(acceptor.run());
     if let Some(socket) = sockets.datagrams {
-        spawn_local(peers::receive(socket, posting.peers.each.clone(), effect_runner.inbox.clone()));
+        spawn_local(peers::receive(socket, posting.peers.each.clone(), effects.inbox.clone()));
     }
 }
--- a/crates/scale/src/core/hollow.rs
+++ b/crates/scale/src/core/hollow.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use oatpitch::interface::{Mandate, ProxyId, Standing, Time, ZoneId};
-use oatpitch_memory::heard::{Entry, News, Said};
+use oatpitch_memory::inbound::{Entry, MembershipUpdate, PeerMessage};
 use oatpitch_memory::message::{Message as Ordered, Part as OrderedPart};
 use oatpitch_memory::reducer::{Memory, Start};
 use oatpitch_memory::{ConnId, Effect, Input};
@@ -88,17 +88,17 @@
 }
 
 /// The whole list, as a conductor reads it: read once, and shared by all that are told it.
-pub fn whole_list(fleet: &Fleet) -> News {
+pub fn whole_list(fleet: &Fleet) -> MembershipUpdate {
     let nodes = (0..fleet.len() as u32).map(NodeIndex);
     let entries = nodes.filter_map(|node| Some(entry(node, fleet.zone(node)?, fleet.listed(node)?)));
-    News { version: fleet.version(), whole: true, entries: entries.collect(), unreadable: 0 }
+    MembershipUpdate { version: fleet.version(), whole: true, entries: entries.collect(), unreadable: 0 }
 }
 
 /// One change, as a conductor reads it.
-pub fn news(fleet: &Fleet, change: Change) -> News {
+pub fn news(fleet: &Fleet, change: Change) -> MembershipUpdate {
     let zone = fleet.zone(change.node).unwrap_or_default();
     let entries = vec![entry(change.node, zone, change.listed)];
-    News { version: fleet.version(), whole: false, entries, unreadable: 0 }
+    MembershipUpdate { version: fleet.version(), whole: false, entries, unreadable: 0 }
 }
 
 impl HollowConductor {
@@ -109,7 +109,7 @@
             mandate,
             classes: CLASSES.len() as u16,
             seed,
-            known: News::default(),
+            known: MembershipUpdate::default(),
             discovery: NOWHERE,
             places: PLACES,
         };
@@ -138,9 +138,9 @@
     }
 
     /// Its watch tells something.
-    pub fn told(&mut self, now: Micros, news: News) {
+    pub fn told(&mut self, now: Micros, news: MembershipUpdate) {
         if let Some(watch) = self.watch {
-            self.turn(now, vec![Input::News(watch, news)]);
+            self.turn(now, vec![Input::MembershipUpdate(watch, news)]);
         }
     }
 
@@ -148,7 +148,7 @@
     pub fn join(&mut self, now: Micros, plan: &Plan, proxies: u16) {
         let joined = |proxy: u16| {
             let conn = ConnId(proxy.into());
-            let said = Said::Joined {
+            let said = PeerMessage::Joined {
                 proxy: ProxyId(proxy),
                 zone: ZoneId((u32::from(proxy) % plan.zones.max(1)) as u16),
                 rate: REQUESTS_PER_SECOND,
@@ -156,7 +156,7 @@
                 anew: false,
                 tags: BTreeMap::new(),
             };
-            [Input::Opened(conn, NOWHERE), Input::Said(conn, said)]
+            [Input::Opened(conn, NOWHERE), Input::Message(conn, said)]
         };
         self.turn(now, (0..proxies).flat_map(joined).collect());
     }
@@ -178,14 +178,14 @@
     fn step(&mut self, due: Micros) {
         let mut inputs = Vec::new();
         if self.wake.is_some_and(|wake| wake <= due) {
-            inputs.push(Input::Bell);
+            inputs.push(Input::TimerFired);
         }
         while let Some(answer) = self.answers.front().copied().filter(|answer| answer.due <= due) {
             self.answers.pop_front();
             self.work.marks_answered += 1;
             let took = Time(WAY.0 / 100);
-            let said = Said::Acknowledged { proxy: ProxyId(answer.proxy.0), mark: answer.mark, took };
-            inputs.push(Input::Said(ConnId(answer.proxy.0.into()), said));
+            let said = PeerMessage::Acknowledged { proxy: ProxyId(answer.proxy.0), mark: answer.mark, took };
+            inputs.push(Input::Message(ConnId(answer.proxy.0.into()), said));
         }
         self.turn(due, inputs);
     }
