--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -235,6 +235,8 @@
     let asked: Vec<String> = paths.try_iter().collect();
     assert_eq!((asked.len(), asked[6].as_str()), (7, "/catalog/members?follow=1&since=5"));
     conductor.signal("USR1");
+    // A stop goes first where both signals wait: whoever is answered after the first knows that it was taken.
+    conductor.dial().probe();
     let log = conductor.stop();
     assert!(log.matches("counters: ").count() == 2 && log.contains("status 500"), "{log}");
     assert!(log.contains("watches ended=6") && log.contains("whole lists=1"), "{log}");
