The configuration is read without a tree of the list known, and peers are found by a map

The file was read into a tree, the list known printed back to text and read again. Now its keys are read into a struct, and the list stays the text that it is until its entries are read; what nobody reads of it takes no memory. A key that stands twice is refused by its name, where the last counted before.

The sender of a datagram is looked up in a map: with 20,000 peers it was a search of all for each datagram.

--- a/crates/conductor/src/run/config.rs
+++ b/crates/conductor/src/run/config.rs
@@ -6,8 +6,11 @@
 use anyhow::{Context, Result, anyhow, bail};
 use oatpitch_mandate::Charge;
 use oatpitch_memory::heard::News;
+use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 
+use crate::wire::heard::opens_object;
 use crate::wire::{limits, roster};
 
 /// When the configuration is read: at the start, or anew while running.
@@ -54,31 +57,58 @@
     }
 }
 
+/// The file as it stands: keys that nobody reads take no memory, and the list known only that of its entries.
+#[derive(Deserialize)]
+struct File<'a> {
+    #[serde(default)]
+    name: Value,
+    #[serde(default)]
+    listen: Value,
+    #[serde(default)]
+    discovery: Value,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: Value,
+    #[serde(default)]
+    peer_listen: Value,
+    #[serde(default)]
+    peers: Value,
+    #[serde(default)]
+    peers_all: Value,
+    #[serde(default)]
+    settings: Value,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+}
+
 /// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go first. In a
 /// renewal the file's discovery does: it is the new one, and the variable as old as the start.
 pub fn read(occasion: Occasion, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
     let path = variable("NODE_CONFIG").ok_or_else(|| anyhow!("NODE_CONFIG is not set"))?;
     let text = std::fs::read(&path).with_context(|| format!("NODE_CONFIG: {path}"))?;
-    let config: Value = serde_json::from_slice(&text).with_context(|| format!("NODE_CONFIG: {path}"))?;
+    // An array would be read as the keys in their order.
+    if !opens_object(&text) {
+        bail!("NODE_CONFIG: {path}: no JSON object");
+    }
+    let config: File = serde_json::from_slice(&text).with_context(|| format!("NODE_CONFIG: {path}"))?;
     check(occasion, &config, variable)
 }
 
-fn check(occasion: Occasion, config: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
-    if !config.is_object() {
-        bail!("NODE_CONFIG: no JSON object");
-    }
-    let word = |name: &str, key: &'static str| {
-        let stated = config[key].as_str().map(String::from);
+fn check(occasion: Occasion, config: &File, variable: impl Fn(&str) -> Option<String>) -> Result<Posting> {
+    let word = |name: &str, key: &'static str, stated: &Value| {
+        let stated = stated.as_str().map(String::from);
         let word = match occasion {
             Occasion::Renewal if key == "discovery" => stated.or_else(|| variable(name)),
             _ => variable(name).or(stated),
         };
         word.filter(|word| !word.is_empty()).ok_or_else(|| anyhow!("{key}: missing, and {name} is not set"))
     };
-    let (listen, discovery) = (word("NODE_LISTEN", "listen")?, word("NODE_DISCOVERY", "discovery")?);
-    let seed = config["seed"].as_str().ok_or_else(|| anyhow!("seed: missing, or no text"))?;
+    let listen = word("NODE_LISTEN", "listen", &config.listen)?;
+    let discovery = word("NODE_DISCOVERY", "discovery", &config.discovery)?;
+    let seed = config.seed.as_str().ok_or_else(|| anyhow!("seed: missing, or no text"))?;
     let limit = |key: &'static str, usual: usize, least: usize| {
-        let value = &config["limits"][key];
+        let value = &config.limits[key];
         let stated = if value.is_null() { Some(usual as u64) } else { value.as_u64() };
         match stated.ok_or_else(|| anyhow!("limits.{key}: no whole number: {value}"))? as usize {
             stated if stated < least => bail!("limits.{key}: {stated} is too little, {least} are needed"),
@@ -87,16 +117,16 @@
     };
     let memory_mb = limit("memory_mb", limits::MEMORY, limits::MEMORY_LEAST)?;
     let sockets = limit("sockets", limits::SOCKETS, limits::SOCKETS_LEAST)?.min(limits::SOCKETS_MOST);
-    let charge = oatpitch_mandate::from_json(&config["settings"])?;
+    let charge = oatpitch_mandate::from_json(&config.settings)?;
     if charge.mandate.slices > 0 {
         bail!("settings: specifics.slices: {}, and keys in slices are not served", charge.mandate.slices);
     }
-    let known = match &config["known"] {
-        Value::Null => News::default(),
-        value => roster::decode(value.to_string().as_bytes(), &charge.zones).context("known")?,
+    let known = match config.known {
+        None => News::default(),
+        Some(list) => roster::decode(list.get().as_bytes(), &charge.zones).context("known")?,
     };
     Ok(Posting {
-        name: word("NODE_NAME", "name")?,
+        name: word("NODE_NAME", "name", &config.name)?,
         listen: address(&listen).context("listen")?,
         discovery: address(&discovery).context("discovery")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: no hexadecimal number: {seed:?}"))?,
@@ -112,12 +142,12 @@
     text.parse().map_err(|_| anyhow!("no address with a port: {text:?}"))
 }
 
-fn peers(config: &Value) -> Result<Peers> {
-    let one = |key: &'static str| match &config[key] {
+fn peers(config: &File) -> Result<Peers> {
+    let one = |key: &'static str, value: &Value| match value {
         Value::Null => Ok(None),
         value => address(value.as_str().unwrap_or_default()).map(Some).context(key),
     };
-    let each = match &config["peers"] {
+    let each = match &config.peers {
         Value::Null => Vec::new(),
         Value::Array(peers) => peers
             .iter()
@@ -125,5 +155,6 @@
             .collect::<Result<_>>()?,
         other => bail!("peers: no list: {other}"),
     };
-    Ok(Peers { listen: one("peer_listen")?, each, all: one("peers_all")? })
+    let listen = one("peer_listen", &config.peer_listen)?;
+    Ok(Peers { listen, each, all: one("peers_all", &config.peers_all)? })
 }
--- a/crates/conductor/src/run/peers.rs
+++ b/crates/conductor/src/run/peers.rs
@@ -1,5 +1,9 @@
 //! Datagrams of peers, handed to the reducer.
 
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -11,14 +15,24 @@
 
 /// Hands on who sent each datagram, until the conductor is gone.
 pub async fn receive(socket: Rc<UdpSocket>, each: Vec<SocketAddr>, inbox: mpsc::Sender<Input>) {
+    let places = places(&each);
     loop {
         let Ok((from, bytes)) = peers::next(&socket).await else {
             tokio::time::sleep(limits::ACCEPT_PAUSE).await;
             continue;
         };
-        let place = bytes.and_then(|_| each.iter().position(|peer| *peer == from));
+        let place = bytes.and_then(|_| places.get(&from).copied());
         if inbox.send(Input::Peer(place)).await.is_err() {
             return;
         }
     }
 }
+
+/// The place of each peer in the list; the first where one stands twice.
+fn places(each: &[SocketAddr]) -> BTreeMap<SocketAddr, usize> {
+    let mut places = BTreeMap::new();
+    for (place, peer) in each.iter().enumerate() {
+        places.entry(*peer).or_insert(place);
+    }
+    places
+}
--- a/crates/conductor/tests/site/mod.rs
+++ b/crates/conductor/tests/site/mod.rs
@@ -170,14 +170,20 @@
 
     /// Hears its log until a line that holds this.
     pub fn told(&mut self, what: &str) {
+        self.told_line(what);
+    }
+
+    /// The same, and gives the line.
+    pub fn told_line(&mut self, what: &str) -> String {
         let (mut line, mut byte) = (Vec::new(), [0]);
         let pipe = self.child.stderr.as_mut().expect("its log");
         loop {
             assert!(pipe.read(&mut byte).expect("its log") > 0, "it ended without: {what}");
             line.push(byte[0]);
             if byte[0] == b'\n' {
-                if String::from_utf8_lossy(&line).contains(what) {
-                    return;
+                let text = String::from_utf8_lossy(&line);
+                if text.contains(what) {
+                    return text.into_owned();
                 }
                 line.clear();
             }
