--- a/crates/memory/src/reducer/connections.rs
+++ b/crates/memory/src/reducer/connections.rs
@@ -104,8 +104,14 @@
     }
 
     /// Whoever is told that the conductor is alive uses it, so one that holds no list says so only once it does.
+    /// Whether it can serve, as far as it knows: it holds a list, or discovery can't be asked for one, which ends
+    /// no conductor. While a list is awaited, or the only one was too long, it can't.
+    fn is_ready(&self) -> bool {
+        self.listed || self.watch.is_unreachable()
+    }
+
     fn probed(&mut self, conn: ConnId) {
-        if self.listed {
+        if self.is_ready() {
             self.counters.add("probes answered", 1);
             self.effects.push(Effect::Alive(conn));
         } else {
@@ -120,6 +126,11 @@
             return;
         }
         self.listed = true;
+        self.answer_probes();
+    }
+
+    /// Answers those that asked for a sign of life before one could be given.
+    pub(super) fn answer_probes(&mut self) {
         for conn in std::mem::take(&mut self.probes) {
             self.probed(conn);
         }
--- a/crates/memory/src/reducer/discovery/mod.rs
+++ b/crates/memory/src/reducer/discovery/mod.rs
@@ -123,6 +123,7 @@
         self.watch.failures = self.watch.failures.saturating_add(1);
         let wait = Time((wait as f64 * (0.5 + self.chance.f64())) as u64);
         self.reopen_at(self.now + wait);
+        self.answer_probes();
     }
 
     /// Ends the watch, to be opened again then.
--- a/crates/memory/src/reducer/discovery/too_long.rs
+++ b/crates/memory/src/reducer/discovery/too_long.rs
@@ -8,6 +8,11 @@
 use crate::{Effect, limits};
 
 impl Watch {
+    /// Whether discovery was asked in vain, and not for the length of what it has.
+    pub(in crate::reducer) fn is_unreachable(&self) -> bool {
+        self.failures > 0 && self.too_long == 0
+    }
+
     /// What was too long is over: a list fits, or comes from elsewhere.
     pub(super) fn list_fits(&mut self) {
         (self.too_long, self.held_off) = (0, None);
--- a/crates/memory/src/tests/too_long.rs
+++ b/crates/memory/src/tests/too_long.rs
@@ -122,3 +122,18 @@
     desk.open(1, [PeerMessage::Probe]);
     assert_eq!(desk.alive, BTreeMap::from([(ConnId(1), 1)]));
 }
+
+/// Guards against a conductor that never starts, as discovery is away and nothing was known before.
+#[test]
+fn a_discovery_that_cannot_be_asked_holds_up_no_sign_of_life() {
+    let mut desk = Desk::knowing(false, MembershipUpdate::default());
+    desk.open(1, [PeerMessage::Probe]);
+    assert!(desk.alive.is_empty(), "a list may come at once");
+    desk.turn(1, [Input::DiscoveryRequestEnded(1, "refused".into())]);
+    assert_eq!(desk.alive, BTreeMap::from([(ConnId(1), 1)]));
+    // A list that is there, and too long, is another matter.
+    desk.wait_for_watch();
+    desk.turn(1, [Input::ListTooLong(2, TOO_LONG)]);
+    desk.say(1, PeerMessage::Probe);
+    assert_eq!(desk.alive[&ConnId(1)], 1);
+}
