Tests of large configurations end by themselves when a faulty file is taken

A conductor that took the configuration for good was waited for without end: seen in a trial with the reading of before, which takes a key that stands twice.

--- a/crates/conductor/tests/large_config.rs
+++ b/crates/conductor/tests/large_config.rs
@@ -3,6 +3,8 @@
 mod site;
 
 use std::net::UdpSocket;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use oatpitch_standins::conductor::free_port;
 use serde_json::{Value, json};
@@ -47,7 +49,9 @@
     peer.send_to(b"x", &listen).expect("sent");
     other.send_to(b"x", &listen).expect("sent");
     // Once both have been read.
+    let start = Instant::now();
     loop {
+        assert!(start.elapsed() < site::LONGEST, "they are never read");
         conductor.signal("USR1");
         let counters = conductor.told_line("counters: ");
         if counters.contains("datagrams of peers=1") && counters.contains("datagrams dropped=1") {
@@ -67,7 +71,14 @@
     for (name, config, expected) in [("twice", twice, "seed"), ("broken", broken, "known: no list of nodes")]
     {
         let (mut command, folder) = site::command(&format!("faulty-{name}"), config.as_bytes());
-        let output = command.output().expect("started");
+        let mut child = command.spawn().expect("started");
+        let start = Instant::now();
+        while child.try_wait().expect("a child").is_none() && start.elapsed() < site::LONGEST {
+            thread::sleep(Duration::from_millis(5));
+        }
+        // One that takes the configuration for good ends here.
+        let _ = child.kill();
+        let output = child.wait_with_output().expect("its output");
         let _ = std::fs::remove_dir_all(folder);
         let told = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(!output.status.success() && told.contains(expected), "{told} lacks: {expected}");
