--- a/crates/channel/src/net/client.rs
+++ b/crates/channel/src/net/client.rs
@@ -28,7 +28,7 @@
 /// Who follows, as it says of itself.
 #[derive(Clone, Debug)]
 pub struct Identity {
-    pub proxy: u16,
+    pub proxy: u32,
     pub zone: String,
     /// Exchanges a second.
     pub rate: f64,
--- a/crates/channel/src/net/server.rs
+++ b/crates/channel/src/net/server.rs
@@ -339,8 +339,8 @@
     }
     let field = |key: &'static str| fields.get(key).map(String::as_str);
     let need = |key: &'static str| field(key).ok_or((key, "is missing"));
-    let proxy: u16 = need("proxy")?.parse().map_err(|_| ("proxy", "is no number of a proxy"))?;
-    if u32::from(proxy) >= terms.proxies {
+    let proxy: u32 = need("proxy")?.parse().map_err(|_| ("proxy", "is no number of a proxy"))?;
+    if proxy >= terms.proxies {
         return Err(("proxy", "is beyond the proxies that there are"));
     }
     let zone = need("zone")?;
--- a/crates/conductor/src/run/command.rs
+++ b/crates/conductor/src/run/command.rs
@@ -53,7 +53,7 @@
         hosts: Vec<SocketAddr>,
         /// The proxy's number.
         #[arg(long, value_name = "N")]
-        proxy: u16,
+        proxy: u32,
         /// Its zone, by name.
         #[arg(long)]
         zone: String,
--- a/crates/conductor/src/wire/inbound.rs
+++ b/crates/conductor/src/wire/inbound.rs
@@ -84,7 +84,7 @@
     }
 
     fn proxy(&self, terms: &Terms) -> Read<ProxyId> {
-        let known = |number: &u16| u32::from(*number) < terms.proxies;
+        let known = |number: &u32| *number < terms.proxies;
         Ok(ProxyId(held(get(("proxy", self.proxy))?, "proxy", known)?))
     }
 
--- a/crates/hooks/src/core/guard.rs
+++ b/crates/hooks/src/core/guard.rs
@@ -39,7 +39,7 @@
     /// Each with the hook that counted last.
     pub shares: BTreeMap<String, (f64, HookId)>,
     pub admitted: BTreeMap<String, (f64, HookId)>,
-    pub parts: BTreeMap<u16, u16>,
+    pub parts: BTreeMap<u32, u16>,
     /// By class.
     pub levels: BTreeMap<usize, f64>,
     pub tries: BTreeMap<usize, u8>,
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settled {
     pub shares: BTreeMap<String, f64>,
-    pub parts: BTreeMap<u16, u16>,
+    pub parts: BTreeMap<u32, u16>,
     pub levels: BTreeMap<usize, f64>,
     pub tries: BTreeMap<usize, u8>,
 }
--- a/crates/hooks/src/core/tests.rs
+++ b/crates/hooks/src/core/tests.rs
@@ -26,7 +26,7 @@
         ..View::sample().nodes[0].clone()
     };
     let proxy = |k: usize| ProxyView {
-        proxy: k as u16,
+        proxy: k as u32,
         zone: "a".into(),
         rate: f64::from(pick(k)) + 1.0,
         part: (pick(k + 2) % 3 != 0).then_some(u16::from(pick(k) % 3)),
--- a/crates/hooks/src/core/view.rs
+++ b/crates/hooks/src/core/view.rs
@@ -66,7 +66,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ProxyView {
-    pub proxy: u16,
+    pub proxy: u32,
     pub zone: String,
     pub rate: f64,
     /// None before it is bound.
@@ -77,7 +77,7 @@
 }
 
 /// What proxies say of themselves when they join.
-pub type Tags = BTreeMap<u16, BTreeMap<String, String>>;
+pub type Tags = BTreeMap<u32, BTreeMap<String, String>>;
 
 pub fn number(tries: FurtherTries) -> u8 {
     match tries {
@@ -124,12 +124,12 @@
             tries,
             amount: oatpitch::interface::ALL_IN,
         };
-        let proxy = |k: u16| ProxyView {
+        let proxy = |k: u32| ProxyView {
             proxy: k,
-            zone: ["a", "b"][usize::from(k % 2)].into(),
+            zone: ["a", "b"][k as usize % 2].into(),
             rate: 10.0 + f64::from(k),
-            part: (k > 1).then_some(k % 2),
-            tags: BTreeMap::from([("tier".into(), ["gold", "plain"][usize::from(k % 2)].into())]),
+            part: (k > 1).then_some((k % 2) as u16),
+            tags: BTreeMap::from([("tier".into(), ["gold", "plain"][k as usize % 2].into())]),
         };
         View {
             now_ms: 1_700_000_000_000,
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -219,14 +219,12 @@
     Ok(Charge { mandate, columns, tick: at.time("tick_us")?, zones: names, classes })
 }
 
-/// Numbered from 0, each in 16 bits.
+/// Numbered from 0, each in 32 bits.
 fn proxies(at: &Pairs) -> Result<u32> {
-    let (key, most) = ("specifics.data_plane_size", u32::from(u16::MAX) + 1);
-    let proxies: u32 = at.value(key)?;
-    if proxies > most {
-        bail!("settings: {key} is out of its range: {proxies}, {most} at most");
-    }
-    Ok(proxies)
+    let key = "specifics.data_plane_size";
+    let proxies: u64 = at.value(key)?;
+    u32::try_from(proxies)
+        .map_err(|_| anyhow!("settings: {key} is out of its range: {proxies}, {} at most", u32::MAX))
 }
 
 fn exchanges(at: &Pairs) -> Result<Vec<ExchangeTerms>> {
--- a/crates/memory/src/reducer/mod.rs
+++ b/crates/memory/src/reducer/mod.rs
@@ -184,7 +184,7 @@
     }
 
     /// What joined proxies said of themselves.
-    pub fn tags(&self) -> BTreeMap<u16, BTreeMap<String, String>> {
+    pub fn tags(&self) -> BTreeMap<u32, BTreeMap<String, String>> {
         self.tags.iter().map(|(proxy, tags)| (proxy.0, tags.clone())).collect()
     }
 
--- a/crates/operator/src/records/channel.rs
+++ b/crates/operator/src/records/channel.rs
@@ -32,7 +32,7 @@
 pub struct Relay {
     pub origins: Vec<SocketAddr>,
     pub publish: Channel,
-    pub proxy: u16,
+    pub proxy: u32,
     pub zone: String,
     /// Exchanges a second of all that follow it.
     pub rate: f64,
--- a/crates/scale/src/core/hollow.rs
+++ b/crates/scale/src/core/hollow.rs
@@ -149,7 +149,7 @@
         let joined = |proxy: u16| {
             let conn = ConnId(proxy.into());
             let said = PeerMessage::Joined {
-                proxy: ProxyId(proxy),
+                proxy: ProxyId(proxy.into()),
                 zone: ZoneId((u32::from(proxy) % plan.zones.max(1)) as u16),
                 rate: REQUESTS_PER_SECOND,
                 fresh: true,
@@ -184,7 +184,8 @@
             self.answers.pop_front();
             self.work.marks_answered += 1;
             let took = Time(WAY.0 / 100);
-            let said = PeerMessage::Acknowledged { proxy: ProxyId(answer.proxy.0), mark: answer.mark, took };
+            let said =
+                PeerMessage::Acknowledged { proxy: ProxyId(answer.proxy.0.into()), mark: answer.mark, took };
             inputs.push(Input::Message(ConnId(answer.proxy.0.into()), said));
         }
         self.turn(due, inputs);
--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -159,7 +159,7 @@
             1 => status_back(hosted, from)?,
             2 => update(hosted, &self.lists, from, now, &mut pen)?,
             3 => {
-                let proxy = ProxyId(from.u16()?);
+                let proxy = ProxyId(from.u16()?.into());
                 from.end()?;
                 hosted.balance.left(now, proxy);
             }
@@ -176,7 +176,7 @@
             }
             7 => {
                 let (proxy, zone, rate, fresh) =
-                    (ProxyId(from.u16()?), hosted.zone(from)?, from.f32()?, from.flag()?);
+                    (ProxyId(from.u16()?.into()), hosted.zone(from)?, from.f32()?, from.flag()?);
                 from.end()?;
                 hosted.balance.joined(now, proxy, zone, rate.into(), fresh);
             }
@@ -185,7 +185,8 @@
                 self.born.remove(&conductor);
             }
             9 => {
-                let (class, lost, proxy) = (hosted.class(from)?, from.u32()?, Some(ProxyId(from.u16()?)));
+                let (class, lost, proxy) =
+                    (hosted.class(from)?, from.u32()?, Some(ProxyId(from.u16()?.into())));
                 let (exchanges, span) = (from.u32()?, from.span()?);
                 from.end()?;
                 hosted.balance.asked(now, &Asked { proxy, class, exchanges, lost, span });
@@ -225,6 +226,13 @@
         if mandate.exchanges.len() > u16::BITS as usize {
             bail!("settings: classes.count: the wire names {} classes at most", u16::BITS);
         }
+        let most = u32::from(u16::MAX) + 1;
+        if mandate.proxies > most {
+            bail!(
+                "settings: specifics.data_plane_size: {}, the wire numbers {most} proxies",
+                mandate.proxies
+            );
+        }
         let (classes, zones) = (mandate.exchanges.len() as u16, mandate.zones);
         let balance = Balance::begin(now, mandate, seed, &mut reply.of(conductor));
         self.born.insert(conductor, Hosted { balance, classes, zones, columns });
--- a/crates/wirehost/src/reply.rs
+++ b/crates/wirehost/src/reply.rs
@@ -127,8 +127,10 @@
     }
 
     fn bind(&mut self, proxy: ProxyId, table: TableId, classes: Classes) {
+        // Every proxy came by this wire, which numbers them in 16 bits.
+        let Ok(number) = u16::try_from(proxy.0) else { return };
         self.record(75, |to| {
-            to.put_u16(proxy.0);
+            to.put_u16(number);
             to.put_u16(table.0);
             to.put_u16(bits(&classes));
         });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -18,7 +18,7 @@
 
 /// A proxy, which picks nodes by the tables it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ProxyId(pub u16);
+pub struct ProxyId(pub u32);
 
 /// A table: of a conductor's own numbering, or a slice where keys fall into slices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
