Scale run: a faulty command line, program or point is told, and the load stands in the report

A path without a program ran into every point's end in silence and left with code 0. Figures are checked by their keys, a missing program is one line, points that were not run make the exit code 1, and a run that is ended takes its conductors along. The checker has a module for each rule; the report's table is apart from its data.

--- a/crates/scale/src/cli.rs
+++ b/crates/scale/src/cli.rs
@@ -2,11 +2,37 @@
 
 use std::path::PathBuf;
 
-use anyhow::{Context, Result};
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use anyhow::{Context, Result, bail};
+use clap::{Args, Parser, Subcommand, ValueEnum, value_parser};
 use oatpitch_scale::core::plan::{Plan, UNBOUND_LINES_MOST, UNBOUND_LINES_PER_SECOND};
 use oatpitch_scale::core::slopes::Axis;
 
+/// Addresses of nodes have room for this many; more real conductors than this are no use on one machine.
+const NODES_MOST: i64 = 1 << 24;
+const ZONES_MOST: i64 = 1 << 16;
+const CONDUCTORS_MOST: i64 = 200;
+const HOLLOW_MOST: i64 = 1_000_000;
+
+/// A finite figure above 0.
+fn positive(word: &str) -> Result<f64, String> {
+    figure(word, |figure| figure > 0.0).ok_or_else(|| "not a number above 0".into())
+}
+
+/// A share, 0 to 1.
+fn share(word: &str) -> Result<f64, String> {
+    figure(word, |figure| (0.0..=1.0).contains(&figure)).ok_or_else(|| "not a share from 0 to 1".into())
+}
+
+/// Seconds, or a rate: 0 or more, and no longer than a day.
+fn span(word: &str) -> Result<f64, String> {
+    const DAY: f64 = 86_400.0;
+    figure(word, |figure| (0.0..=DAY).contains(&figure)).ok_or_else(|| "not a number from 0 to 86400".into())
+}
+
+fn figure(word: &str, fits: impl Fn(f64) -> bool) -> Option<f64> {
+    word.parse().ok().filter(|figure: &f64| figure.is_finite() && fits(*figure))
+}
+
 #[derive(Parser)]
 #[command(name = "oatpitch-scale", version, about = "Conductors before a whole fleet, on loopback, measured")]
 pub struct Line {
@@ -28,14 +54,14 @@
 
 #[derive(Args)]
 pub struct Run {
-    #[arg(long, default_value_t = 1_000)]
+    #[arg(long, default_value_t = 1_000, value_parser = value_parser!(u32).range(1..=NODES_MOST))]
     nodes: u32,
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 3, value_parser = value_parser!(u32).range(1..=ZONES_MOST))]
     zones: u32,
     /// Restarts, drains, failures and returns a second, by chance from the seed.
-    #[arg(long, default_value_t = 2.0)]
+    #[arg(long, default_value_t = 2.0, value_parser = span)]
     churn: f64,
-    #[arg(long, default_value_t = 20.0)]
+    #[arg(long, default_value_t = 20.0, value_parser = span)]
     churn_seconds: f64,
     #[command(flatten)]
     pub usual: Usual,
@@ -44,10 +70,12 @@
 #[derive(Args)]
 pub struct Table {
     /// Sizes of the fleet.
-    #[arg(long, value_delimiter = ',', default_values_t = [1_000, 5_000, 20_000, 66_000])]
+    #[arg(long, value_delimiter = ',', default_values_t = [1_000, 5_000, 20_000, 66_000],
+        value_parser = value_parser!(u32).range(1..=NODES_MOST))]
     nodes: Vec<u32>,
     /// Zones that the fleet is spread over.
-    #[arg(long, value_delimiter = ',', default_values_t = [3, 146])]
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 146],
+        value_parser = value_parser!(u32).range(1..=ZONES_MOST))]
     zones: Vec<u32>,
     #[command(flatten)]
     pub usual: Usual,
@@ -59,15 +87,15 @@
     #[arg(long, value_delimiter = ',')]
     axis: Vec<AxisName>,
     /// The sizes to measure, where one axis is named.
-    #[arg(long, value_delimiter = ',')]
+    #[arg(long, value_delimiter = ',', value_parser = positive)]
     sizes: Vec<f64>,
     /// What stands while another is varied.
-    #[arg(long, default_value_t = 1_000)]
+    #[arg(long, default_value_t = 1_000, value_parser = value_parser!(u32).range(1..=NODES_MOST))]
     nodes: u32,
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 3, value_parser = value_parser!(u32).range(1..=ZONES_MOST))]
     zones: u32,
     /// How long changes by chance come, at least, on their own axis.
-    #[arg(long, default_value_t = 10.0)]
+    #[arg(long, default_value_t = 10.0, value_parser = span)]
     churn_seconds: f64,
     #[command(flatten)]
     pub usual: Usual,
@@ -75,12 +103,13 @@
 
 #[derive(Args)]
 pub struct Hollow {
-    #[arg(long, default_value_t = 1_000)]
+    #[arg(long, default_value_t = 1_000, value_parser = value_parser!(u32).range(1..=NODES_MOST))]
     nodes: u32,
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 3, value_parser = value_parser!(u32).range(1..=ZONES_MOST))]
     zones: u32,
     /// How many conductors at once.
-    #[arg(long, value_delimiter = ',', default_values_t = [10, 50, 200, 1_000])]
+    #[arg(long, value_delimiter = ',', default_values_t = [10, 50, 200, 1_000],
+        value_parser = value_parser!(u32).range(1..=HOLLOW_MOST))]
     pub conductors: Vec<u32>,
     /// The number that the slopes are taken to.
     #[arg(long, default_value_t = 20_000)]
@@ -91,7 +120,7 @@
     #[arg(long, default_value_t = 20)]
     drains: u32,
     /// The longest time of each number of conductors.
-    #[arg(long, default_value_t = 180.0)]
+    #[arg(long, default_value_t = 180.0, value_parser = positive)]
     seconds: f64,
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -133,9 +162,9 @@
     /// Writes all figures to a file.
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
-    #[arg(long, default_value_t = 7)]
+    #[arg(long, default_value_t = 7, value_parser = value_parser!(u16).range(1..))]
     proxies: u16,
-    #[arg(long, default_value_t = 1)]
+    #[arg(long, default_value_t = 1, value_parser = value_parser!(u16).range(1..=CONDUCTORS_MOST))]
     conductors: u16,
     /// Nodes set to leaving all at once while the proxies join.
     #[arg(long, default_value_t = 0)]
@@ -143,31 +172,31 @@
     /// Nodes set to leaving one after another.
     #[arg(long, default_value_t = 20)]
     drains: u32,
-    #[arg(long, default_value_t = 2.5)]
+    #[arg(long, default_value_t = 2.5, value_parser = positive)]
     drains_per_second: f64,
     /// Lines a second that a conductor's channel sends, and lines that may wait in it; neither binds as it stands.
-    #[arg(long, default_value_t = UNBOUND_LINES_PER_SECOND)]
+    #[arg(long, default_value_t = UNBOUND_LINES_PER_SECOND, value_parser = positive)]
     channel_lines: f64,
-    #[arg(long, default_value_t = UNBOUND_LINES_MOST)]
+    #[arg(long, default_value_t = UNBOUND_LINES_MOST, value_parser = positive)]
     channel_backlog: f64,
     /// The longest time of one point; what is not done by then is marked as not served.
-    #[arg(long, default_value_t = 60.0)]
+    #[arg(long, default_value_t = 60.0, value_parser = positive)]
     seconds: f64,
     /// What the conductor is told of its memory, in MiB.
     #[arg(long, default_value_t = 256)]
     memory_mb: u32,
     /// Quiet time after joining, and how long the idle share is measured after that.
-    #[arg(long, default_value_t = 3.0)]
+    #[arg(long, default_value_t = 3.0, value_parser = span)]
     settle_seconds: f64,
-    #[arg(long, default_value_t = 5.0)]
+    #[arg(long, default_value_t = 5.0, value_parser = span)]
     idle_seconds: f64,
     /// The most nodes in the table that each proxy draws from the list at its start.
     #[arg(long, default_value_t = 6)]
     standing: u16,
     /// Share of the proxies that neither read nor answer, and of those that read and answer no mark.
-    #[arg(long, default_value_t = 0.0)]
+    #[arg(long, default_value_t = 0.0, value_parser = share)]
     hang: f64,
-    #[arg(long, default_value_t = 0.0)]
+    #[arg(long, default_value_t = 0.0, value_parser = share)]
     mute: f64,
     /// Leaves out the restart at the end of each point.
     #[arg(long)]
@@ -203,7 +232,11 @@
     pub fn programs(&self) -> Result<Vec<PathBuf>> {
         let own = std::env::current_exe().context("the place of this program")?;
         let first = self.conductor.clone().unwrap_or_else(|| own.with_file_name("oatpitch"));
-        Ok([first].into_iter().chain(self.against.clone()).collect())
+        let programs: Vec<PathBuf> = [first].into_iter().chain(self.against.clone()).collect();
+        match programs.iter().find(|program| !program.is_file()) {
+            Some(missing) => bail!("no conductor at {}: --conductor names another", missing.display()),
+            None => Ok(programs),
+        }
     }
 }
 
--- a/crates/scale/src/core/checker.rs
+++ b/crates/scale/src/core/checker/mod.rs
@@ -1,23 +1,26 @@
 //! The five rules, checked from outside: fed in the order of time with what was told to each conductor and what each
 //! proxy received, it tells every break. It knows nothing of how a conductor decides.
 
+mod cold;
+mod drains;
+mod lines;
+mod policies;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::Serialize;
 
-use super::channel::Channel;
-use super::fleet::{Listed, NodeState};
-use super::ids::{ClassIndex, ConductorIndex, Micros, NodeIndex, ProxyIndex};
-use super::message::Message;
-use super::order::Part;
-use super::proxy_table::ProxyTable;
-use super::terms::Terms;
+use crate::core::channel::Channel;
+use crate::core::fleet::{Listed, NodeState};
+use crate::core::ids::{ClassIndex, ConductorIndex, Micros, NodeIndex, ProxyIndex};
+use crate::core::message::Message;
+use crate::core::order::Part;
+use crate::core::proxy_table::ProxyTable;
+use crate::core::terms::Terms;
 
 /// How often rules that break by the passing of time alone are looked at, and the loads of cold nodes.
 const SWEEP: Micros = Micros::from_millis(50);
 const COLD_SWEEP: Micros = Micros::from_millis(250);
-/// Part of a cold node's load that must come from proxies that could know of its start.
-const KNOWING_PART: f64 = 2.0 / 3.0;
 /// Breaks of each rule that are kept with all that is known of them; all are counted.
 const KEPT_MOST: usize = 20;
 
@@ -214,8 +217,6 @@
     }
 }
 
-// ---- What is fed in ----
-
 impl Checker {
     /// A conductor has first answered after its start.
     pub fn answered(&mut self, now: Micros, conductor: ConductorIndex) {
@@ -389,217 +390,3 @@
 fn violation(rule: Rule, at: Micros, conductor: ConductorIndex) -> Violation {
     Violation { rule, at, conductor: Some(conductor), proxy: None, node: None, class: None }
 }
-
-// ---- Rule 1: nobody without a line ----
-
-impl Checker {
-    fn refresh_warm(&mut self, now: Micros, conductor: ConductorIndex) {
-        let Some(known) = self.conductor_mut(conductor) else { return };
-        let first = known.ready.first().map(|(warm_at, _)| *warm_at).filter(|warm_at| *warm_at <= now);
-        known.warm_since = match first {
-            // It was warm before this was looked at, but not before the list had it.
-            Some(warm_at) => known.warm_since.or(Some(warm_at.max(known.told))),
-            None => None,
-        };
-    }
-
-    /// Keeps which classes of a proxy have no line, and since when.
-    fn note_bare(&mut self, now: Micros, proxy: ProxyIndex) {
-        let Some(known) = self.proxy(proxy).filter(|known| known.conductor.is_some()) else { return };
-        let empty: Vec<(ClassIndex, bool)> =
-            known.table.classes().map(|class| (class, known.table.usable(class) == 0)).collect();
-        for (class, empty) in empty {
-            if empty {
-                self.bare.entry((proxy, class)).or_insert(Bare { since: now, counted: false });
-            } else {
-                self.bare.remove(&(proxy, class));
-            }
-        }
-    }
-
-    fn check_bare(&mut self, now: Micros, proxy: ProxyIndex) {
-        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
-        let Some(known) = self.conductor(conductor) else { return };
-        let (Some(begin), Some(warm)) = (known.begin, known.warm_since) else { return };
-        let limit = self.terms.bare + self.terms.slack;
-        let over = |bare: &Bare| !bare.counted && now > bare.since.max(begin).max(warm) + limit;
-        let classes = (proxy, ClassIndex(0))..=(proxy, ClassIndex(u8::MAX));
-        let found: Vec<ClassIndex> = self
-            .bare
-            .range_mut(classes)
-            .filter_map(|((_, class), bare)| {
-                let over = over(bare);
-                bare.counted |= over;
-                over.then_some(*class)
-            })
-            .collect();
-        for class in found {
-            let (proxy, class) = (Some(proxy), Some(class));
-            self.broken(Violation { proxy, class, ..violation(Rule::WithoutLine, now, conductor) });
-        }
-    }
-}
-
-// ---- Rule 2: no effect twice ----
-
-impl Checker {
-    fn check_policies(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
-        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
-        for part in message.parts.iter().filter(|part| part.policy.is_some()) {
-            for (class, most) in self.terms.policy_most.clone().into_iter().enumerate() {
-                let class = ClassIndex(class as u8);
-                let meant = part.classes.as_ref().is_none_or(|classes| classes.contains(&class));
-                if meant && part.policy.is_some_and(|policy| policy > most) {
-                    let (proxy, class) = (Some(proxy), Some(class));
-                    self.broken(Violation { proxy, class, ..violation(Rule::RunTwice, now, conductor) });
-                }
-            }
-        }
-    }
-}
-
-// ---- Rule 3: drains are kept ----
-
-impl Checker {
-    /// By when a proxy must have stopped to use a node; none where that is not asked of it.
-    fn drain_limit(&self, proxy: &Proxy, node: NodeIndex) -> Option<Micros> {
-        let conductor = self.conductor(proxy.conductor?)?;
-        let told = conductor.nodes.get(&node).filter(|_| conductor.draining.contains(&node))?;
-        Some(told.at.max(proxy.since).max(conductor.begin?) + self.terms.grace + self.terms.slack)
-    }
-
-    fn check_drain(&mut self, now: Micros, proxy: ProxyIndex, node: NodeIndex) {
-        let Some(known) = self.proxy(proxy).filter(|known| known.table.uses(node)) else { return };
-        let Some(conductor) = known.conductor else { return };
-        if self.drain_limit(known, node).is_some_and(|limit| now >= limit) {
-            let (proxy, node) = (Some(proxy), Some(node));
-            self.broken(Violation { proxy, node, ..violation(Rule::Drain, now, conductor) });
-        }
-    }
-
-    fn check_due(&mut self, due: Micros, what: Due) {
-        match what {
-            Due::Drain(conductor, node) => {
-                for proxy in 0..self.proxies.len() {
-                    if self.proxies[proxy].conductor == Some(conductor) {
-                        self.check_drain(due, ProxyIndex(proxy as u16), node);
-                    }
-                }
-            }
-            Due::Joined(proxy) => {
-                let conductor = self.proxy(proxy).and_then(|known| known.conductor);
-                let known = conductor.and_then(|conductor| self.conductor(conductor));
-                // What was told later than it joined has a limit of its own.
-                let since = self.proxy(proxy).map_or(due, |known| known.since);
-                let before = |node: &&NodeIndex| {
-                    known.is_some_and(|known| known.nodes.get(node).is_some_and(|told| told.at <= since))
-                };
-                let draining: Vec<NodeIndex> =
-                    known.into_iter().flat_map(|known| &known.draining).filter(before).copied().collect();
-                draining.into_iter().for_each(|node| self.check_drain(due, proxy, node));
-            }
-        }
-    }
-
-    /// What a message names may not be used again once its limit has passed.
-    fn check_used_again(&mut self, now: Micros, proxy: ProxyIndex, message: &Message) {
-        let Some(conductor) = self.proxy(proxy).and_then(|known| known.conductor) else { return };
-        if self.conductor(conductor).is_none_or(|known| known.draining.is_empty()) {
-            return;
-        }
-        for part in &message.parts {
-            let opened = part.lines.iter().filter(|(_, weight)| *weight > 0.0).map(|(node, _)| node);
-            for node in opened.chain(&part.restore) {
-                self.check_drain(now, proxy, *node);
-            }
-        }
-    }
-}
-
-// ---- Rule 4: no cold node is pushed over ----
-
-/// What the proxies bring a cold node, in requests a second.
-#[derive(Clone, Copy, Debug, Default)]
-struct ColdLoad {
-    all: f64,
-    /// From proxies that could know of its start.
-    knowing: f64,
-    /// What a usual warm line of the same proxies brings, which is taken to be all that a warm node can do.
-    usual: f64,
-}
-
-impl Checker {
-    fn check_cold(&mut self, now: Micros) {
-        let warm_up = self.terms.warm_up;
-        self.cold.retain(|_, started| *started + warm_up > now);
-        let cold = self.cold.clone();
-        self.overloads.retain(|node, _| cold.contains_key(node));
-        let loads = self.cold_loads(now, &cold);
-        for (node, load) in loads {
-            let Some(started) = cold.get(&node) else { continue };
-            let done = (now - *started).0 as f64 / warm_up.0.max(1) as f64;
-            // How it gains in between is not told: evenly is assumed.
-            let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * done.min(1.0);
-            let bound = self.terms.fall_multiple * present * load.usual;
-            if load.all <= bound || load.knowing < KNOWING_PART * load.all {
-                self.overloads.remove(&node);
-                continue;
-            }
-            self.overloaded(now, node);
-        }
-    }
-
-    fn overloaded(&mut self, now: Micros, node: NodeIndex) {
-        let overload = self.overloads.entry(node).or_insert(Overload { since: now, counted: false });
-        if !overload.counted && now >= overload.since + self.terms.overload {
-            overload.counted = true;
-            let nobody = Violation {
-                rule: Rule::ColdNode,
-                at: now,
-                conductor: None,
-                proxy: None,
-                node: Some(node),
-                class: None,
-            };
-            self.broken(nobody);
-        }
-    }
-
-    fn cold_loads(&self, now: Micros, cold: &BTreeMap<NodeIndex, Micros>) -> BTreeMap<NodeIndex, ColdLoad> {
-        let mut loads: BTreeMap<NodeIndex, ColdLoad> = BTreeMap::new();
-        for proxy in self.proxies.iter().filter(|proxy| proxy.rate > 0.0) {
-            for class in proxy.table.classes() {
-                let rate = proxy.rate / self.terms.policy_most.len() as f64;
-                let used: Vec<(NodeIndex, f64)> = cold
-                    .keys()
-                    .map(|node| (*node, proxy.table.share(class, *node)))
-                    .filter(|(_, share)| *share > 0.0)
-                    .collect();
-                let cold_share: f64 = used.iter().map(|(_, share)| share).sum();
-                let (usable, warm) =
-                    (proxy.table.usable(class), proxy.table.usable(class).saturating_sub(used.len()));
-                // Where none is warm, all are alike.
-                let usual =
-                    if warm > 0 { (1.0 - cold_share) / warm as f64 } else { 1.0 / usable.max(1) as f64 };
-                for (node, share) in used {
-                    let load = loads.entry(node).or_default();
-                    load.all += rate * share;
-                    load.usual += rate * usual;
-                    if self.could_know(now, proxy, node) {
-                        load.knowing += rate * share;
-                    }
-                }
-            }
-        }
-        loads
-    }
-
-    /// Whether a proxy's last message was sent knowing of a node's start, or its conductor has known for the grace.
-    fn could_know(&self, now: Micros, proxy: &Proxy, node: NodeIndex) -> bool {
-        let told = proxy.conductor.and_then(|conductor| self.conductor(conductor)?.nodes.get(&node));
-        told.is_some_and(|told| {
-            let last = proxy.last_message.is_some_and(|last| last > told.at);
-            last || told.at + self.terms.grace + self.terms.slack <= now
-        })
-    }
-}
--- a/crates/scale/src/core/hollow_report.rs
+++ b/crates/scale/src/core/hollow_report.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::propagation::Spread;
-use super::report::row;
+use super::report_table::row;
 use super::slope::Slope;
 
 /// How far a hollow run came.
--- a/crates/scale/src/core/mod.rs
+++ b/crates/scale/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod propagation;
 pub mod proxy_table;
 pub mod report;
+pub mod report_table;
 pub mod settings;
 pub mod slope;
 pub mod slopes;
--- /dev/null
+++ b/crates/scale/src/core/report_table.rs
@@ -0,0 +1,248 @@
+//! The figures of points as a markdown table.
+
+use super::report::{Outcome, PointReport};
+
+/// A figure of a point, where there is one, under its heading.
+#[derive(Debug)]
+pub struct Figure {
+    pub heading: &'static str,
+    pub of: fn(&PointReport) -> Option<f64>,
+    unit: Unit,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Unit {
+    Seconds,
+    Millis,
+    Share,
+    Count,
+    Bytes,
+    Megabytes,
+}
+
+impl Unit {
+    fn show(self, figure: f64) -> String {
+        match self {
+            Unit::Seconds => format!("{} s", significant(figure)),
+            Unit::Millis => format!("{} ms", significant(figure)),
+            Unit::Share => significant(figure),
+            Unit::Count => format!("{figure:.0}"),
+            Unit::Bytes if figure < 1e6 => format!("{} KB", significant(figure / 1e3)),
+            Unit::Bytes => format!("{} MB", significant(figure / 1e6)),
+            Unit::Megabytes => format!("{figure:.0} MB"),
+        }
+    }
+}
+
+/// Two digits that count, and whole numbers from 10 on.
+fn significant(figure: f64) -> String {
+    match figure.abs() {
+        0.0 => "0".into(),
+        size if size >= 10.0 => format!("{figure:.0}"),
+        size if size >= 1.0 => format!("{figure:.1}"),
+        size if size >= 0.1 => format!("{figure:.2}"),
+        size if size >= 0.01 => format!("{figure:.3}"),
+        _ => format!("{figure:.4}"),
+    }
+}
+
+/// All figures of conductors and proxies, in the order of their columns.
+pub const FIGURES: &[Figure] = &[
+    Figure { heading: "list", of: |point| Some(point.outside.list_bytes as f64), unit: Unit::Bytes },
+    Figure { heading: "alive after", of: |point| point.conductor.alive_seconds, unit: Unit::Seconds },
+    Figure {
+        heading: "all have a table after",
+        of: |point| point.conductor.tables_seconds,
+        unit: Unit::Seconds,
+    },
+    Figure {
+        heading: "drain while joining to last proxy, longest",
+        of: |point| (point.plan.drains_at_joining > 0).then_some(point.outside.joining_drains.longest_ms),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "of them not reached",
+        of: |point| {
+            (point.plan.drains_at_joining > 0).then_some(point.outside.joining_drains_not_reached as f64)
+        },
+        unit: Unit::Count,
+    },
+    Figure {
+        heading: "CPU of start and joining",
+        of: |point| Some(point.conductor.start_cpu_seconds),
+        unit: Unit::Seconds,
+    },
+    Figure { heading: "idle, share of a core", of: |point| point.conductor.idle_cores, unit: Unit::Share },
+    Figure {
+        heading: "CPU a change",
+        of: |point| point.conductor.change_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "share of a core while changes come",
+        of: |point| point.conductor.change_cores,
+        unit: Unit::Share,
+    },
+    Figure {
+        heading: "CPU a change by chance",
+        of: |point| point.conductor.churn_cpu_ms.filter(|_| !point.conductor.is_full_at_rest()),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "share of a core under changes by chance",
+        of: |point| point.conductor.churn_cores,
+        unit: Unit::Share,
+    },
+    Figure {
+        heading: "change to last proxy, median",
+        of: |point| spread(point, point.outside.last_proxy.median_ms),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "99th",
+        of: |point| spread(point, point.outside.last_proxy.p99_ms),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "longest",
+        of: |point| spread(point, point.outside.last_proxy.longest_ms),
+        unit: Unit::Millis,
+    },
+    Figure {
+        heading: "not reached",
+        of: |point| Some(point.outside.changes_not_reached as f64),
+        unit: Unit::Count,
+    },
+    Figure {
+        heading: "bytes a proxy at joining",
+        of: |point| Some(point.outside.joining_bytes_per_proxy),
+        unit: Unit::Bytes,
+    },
+    Figure {
+        heading: "alive after a restart",
+        of: |point| point.conductor.restart_alive_seconds,
+        unit: Unit::Seconds,
+    },
+    Figure {
+        heading: "tables after a restart",
+        of: |point| point.conductor.restart_tables_seconds,
+        unit: Unit::Seconds,
+    },
+    Figure { heading: "peak", of: |point| Some(point.conductor.peak_memory_mb), unit: Unit::Megabytes },
+    Figure {
+        heading: "proxies without a table",
+        of: |point| Some(point.outside.proxies_without_table as f64),
+        unit: Unit::Count,
+    },
+    Figure {
+        heading: "proxies without a line",
+        of: |point| Some(point.outside.proxies_without_line as f64),
+        unit: Unit::Count,
+    },
+    Figure {
+        heading: "streams ended by the conductor",
+        of: |point| Some(point.outside.streams_ended as f64),
+        unit: Unit::Count,
+    },
+    Figure {
+        heading: "breaks of rules",
+        of: |point| Some(point.outside.rules_broken.values().sum::<u64>() as f64),
+        unit: Unit::Count,
+    },
+];
+
+/// How late the run itself was: the last column, and no figure of a conductor.
+const LATENESS: Figure =
+    Figure { heading: "run late by", of: |point| Some(point.outside.own_lateness_ms), unit: Unit::Millis };
+
+/// Nothing where no change was measured.
+fn spread(point: &PointReport, figure: f64) -> Option<f64> {
+    (point.outside.last_proxy.count > 0).then_some(figure)
+}
+
+/// A row of a markdown table.
+pub fn row(cells: impl IntoIterator<Item = String>) -> String {
+    let cells: Vec<String> = cells.into_iter().collect();
+    format!("| {} |\n", cells.join(" | "))
+}
+
+/// A row for each point; where two programs were measured at the same point, a row with the ratio follows. Figures
+/// without a figure are left out. Below stand why points were not served, and the breaks of rules.
+pub fn markdown(points: &[PointReport]) -> String {
+    let any = |figure: &&Figure| points.iter().any(|point| (figure.of)(point).is_some());
+    let columns: Vec<&Figure> = FIGURES.iter().chain([&LATENESS]).filter(any).collect();
+    let fixed =
+        ["program", "nodes", "zones", "proxies", "conductors", "changes/s", "served"].map(String::from);
+    let headings: Vec<String> =
+        fixed.into_iter().chain(columns.iter().map(|figure| figure.heading.into())).collect();
+    let mut table = row(headings.iter().cloned());
+    table += &row(headings.iter().map(|_| "---".into()));
+    for (place, point) in points.iter().enumerate() {
+        table += &point_row(point, &columns);
+        let before = place.checked_sub(1).and_then(|place| points.get(place));
+        if let Some(before) = before.filter(|before| is_other_program(before, point)) {
+            table += &ratio_row(before, point, &columns);
+        }
+    }
+    table + &notes(points) + &breaks(points)
+}
+
+/// The notes of points that were not served.
+fn notes(points: &[PointReport]) -> String {
+    let mut lines = String::new();
+    for point in points.iter().filter(|point| point.outcome != Outcome::Served) {
+        let plan = &point.plan;
+        for note in &point.notes {
+            lines += &format!("\n- {}, {} nodes, {} zones: {note}\n", point.program, plan.nodes, plan.zones);
+        }
+    }
+    lines
+}
+
+/// A line for each rule that was broken at a point, with its first break.
+fn breaks(points: &[PointReport]) -> String {
+    let mut lines = String::new();
+    for point in points {
+        let plan = &point.plan;
+        for (rule, count) in &point.outside.rules_broken {
+            let first = point.outside.violations.iter().find(|violation| violation.rule == *rule);
+            let first = first.map(|first| format!("{first:?}")).unwrap_or_default();
+            lines += &format!(
+                "\n- {}, {} nodes, {} zones, {} proxies: {rule:?} broken {count} times; the first: {first}\n",
+                point.program, plan.nodes, plan.zones, plan.proxies
+            );
+        }
+    }
+    lines
+}
+
+fn is_other_program(before: &PointReport, point: &PointReport) -> bool {
+    before.plan == point.plan && before.program != point.program
+}
+
+fn point_row(point: &PointReport, columns: &[&Figure]) -> String {
+    let plan = &point.plan;
+    let counts = [plan.nodes, plan.zones, plan.proxies.into(), plan.conductors.into()];
+    let fixed = [point.program.clone()].into_iter().chain(counts.iter().map(u32::to_string));
+    let cell = |figure: &Figure| match (figure.of)(point) {
+        Some(value) => figure.unit.show(value),
+        None => String::new(),
+    };
+    let served = match point.outcome {
+        Outcome::Served if point.conductor.is_full_at_rest() => "yes, with a core full at rest",
+        outcome => outcome.words(),
+    };
+    row(fixed.chain([served.into()]).chain(columns.iter().map(|figure| cell(figure))))
+}
+
+/// The first program's figure over the second's.
+fn ratio_row(first: &PointReport, second: &PointReport, columns: &[&Figure]) -> String {
+    let cell = |figure: &Figure| match ((figure.of)(first), (figure.of)(second)) {
+        (Some(first), Some(second)) if first > 0.0 && second > 0.0 => {
+            format!("x {}", significant(first / second))
+        }
+        _ => String::new(),
+    };
+    let fixed = std::iter::once("first over second".to_string()).chain((0..6).map(|_| String::new()));
+    row(fixed.chain(columns.iter().map(|figure| cell(figure))))
+}
--- a/crates/scale/src/core/slopes.rs
+++ b/crates/scale/src/core/slopes.rs
@@ -3,7 +3,8 @@
 use serde::{Serialize, Serializer};
 
 use super::plan::Plan;
-use super::report::{FIGURES, Figure, Outcome, PointReport, row};
+use super::report::{Outcome, PointReport};
+use super::report_table::{FIGURES, Figure, row};
 use super::slope::Slope;
 
 /// What is varied while all else stands.
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -7,12 +7,13 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use clap::Parser;
 use cli::{Command, Hollow, Line, Slopes, Usual};
 use oatpitch_scale::core::hollow_report;
 use oatpitch_scale::core::plan::Plan;
-use oatpitch_scale::core::report::{Outcome, PointReport, RunReport, markdown};
+use oatpitch_scale::core::report::{Outcome, PointReport, RunReport};
+use oatpitch_scale::core::report_table::markdown;
 use oatpitch_scale::core::slopes::AxisReport;
 use oatpitch_scale::net::proc_fs::load;
 use oatpitch_scale::net::{hollow, point};
@@ -38,7 +39,9 @@
     let load = load();
     let points = measure(plans, &usual.programs()?);
     print!("{}", markdown(&points));
-    write_json(usual.json.as_deref(), load, points)
+    let complete = is_complete(&points);
+    finish(usual.json.as_deref(), load, points)?;
+    complete
 }
 
 fn slopes(command: &Slopes) -> Result<()> {
@@ -54,7 +57,9 @@
             break;
         }
     }
-    write_json(command.usual.json.as_deref(), load, reports)
+    let complete = reports.iter().try_for_each(|report| is_complete(&report.points));
+    finish(command.usual.json.as_deref(), load, reports)?;
+    complete
 }
 
 fn hollow_conductors(command: &Hollow) -> Result<()> {
@@ -64,7 +69,7 @@
         reports.push(hollow::measure(&plan, *conductors, before_mb, |what| eprintln!("{what}"))?);
     }
     print!("{}", hollow_report::markdown(&reports, command.beyond));
-    write_json(command.json.as_deref(), load, reports)
+    finish(command.json.as_deref(), load, reports)
 }
 
 /// Measures every program at every point, one after another, until it is interrupted.
@@ -87,8 +92,17 @@
     points.last().is_some_and(|point| point.outcome == Outcome::Interrupted)
 }
 
-fn write_json<T: Serialize>(path: Option<&Path>, load_at_start: Option<f64>, results: Vec<T>) -> Result<()> {
-    let Some(path) = path else { return Ok(()) };
+/// What was not served is a result; what was not run, or not to its end, is none.
+fn is_complete(points: &[PointReport]) -> Result<()> {
+    let missing = |point: &&PointReport| matches!(point.outcome, Outcome::Failed | Outcome::Interrupted);
+    match points.iter().filter(missing).count() {
+        0 => Ok(()),
+        count => bail!("{count} of {} points were not run, or not to their end", points.len()),
+    }
+}
+
+/// Tells what the machine was doing meanwhile, and writes all figures where they are wanted.
+fn finish<T: Serialize>(path: Option<&Path>, load_at_start: Option<f64>, results: Vec<T>) -> Result<()> {
     let report = RunReport {
         command: std::env::args().collect(),
         cores: std::thread::available_parallelism().map_or(0, usize::from),
@@ -96,6 +110,10 @@
         load_at_end: load(),
         results,
     };
+    let shown = |load: Option<f64>| load.map_or("unknown".to_string(), |load| load.to_string());
+    let (start, end) = (shown(report.load_at_start), shown(report.load_at_end));
+    println!("\nLoad over a minute: {start} at the start, {end} at the end, on {} cores.", report.cores);
+    let Some(path) = path else { return Ok(()) };
     let mut file = File::create(path).with_context(|| path.display().to_string())?;
     serde_json::to_writer_pretty(&mut file, &report)?;
     Ok(writeln!(file)?)
--- a/crates/scale/src/net/conductor.rs
+++ b/crates/scale/src/net/conductor.rs
@@ -18,6 +18,8 @@
 use super::world::World;
 use crate::core::settings::settings;
 
+/// An odd number with its bits well spread, by which seeds of a run are told apart.
+const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Descriptors of a conductor beside those of its proxies.
 const SOCKETS_BESIDE: u32 = 128;
 const SOCKETS_LEAST: u32 = 1_024;
@@ -42,6 +44,9 @@
     let plan = &world.plan;
     let mut config = config(name, listen, discovery, plan.proxies.into());
     let sockets = (u32::from(plan.proxies) + SOCKETS_BESIDE).max(SOCKETS_LEAST);
+    // Each conductor by its name, and each run by its seed.
+    let number = name.bytes().fold(plan.seed, |seed, byte| seed.wrapping_mul(SEED_STEP) ^ u64::from(byte));
+    config["seed"] = json!(format!("{number:016x}"));
     config["limits"] = json!({"memory_mb": plan.memory_mb, "sockets": sockets});
     config["settings"] = settings(plan);
     config
@@ -92,13 +97,12 @@
 
     /// Asks it to end, and gives the counters that it logs then.
     pub fn stop(&mut self) -> Option<String> {
-        let asked = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
-        let until = Instant::now() + STOP_LONGEST;
-        while asked.as_ref().is_ok_and(|status| status.success()) && Instant::now() < until {
-            if self.has_ended() {
-                break;
+        if !self.has_ended() {
+            let asked = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+            let until = Instant::now() + STOP_LONGEST;
+            while asked.is_ok() && !self.has_ended() && Instant::now() < until {
+                std::thread::sleep(PROBE_PAUSE);
             }
-            std::thread::sleep(PROBE_PAUSE);
         }
         let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
         log.lines().rfind(|line| line.contains(COUNTERS)).map(String::from)
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -126,8 +126,8 @@
     }
 
     async fn stages(&mut self) -> Result<()> {
-        self.reached(Outcome::NeverAlive);
         self.start(false)?;
+        self.reached(Outcome::NeverAlive);
         self.tasks.spawn_local(told_at_the_latest(self.world.clone()));
         let alive = self.until_alive().await?;
         self.report.borrow_mut().conductor.alive_seconds = Some(alive);
