No line for a cold node in a jammed part that busy proxies would flood

At one conductor a part held a proxy of 82 exchanges a second (the mean is about 5), whose few warm nodes of its zone all had exchanges waiting. It kept away from these and crowded onto the two cold ones. The fleet as a whole was only tense, so the exception against such crowds did not act, and an idle report just before had raised the share.

Change: the same exception acts where load reports tell of exchanges that wait at over half of the warm weight that a node's zone sees in its part, and the proxies there, if they kept to its cold nodes, would bring them more than pushes them over. `around` moved to `balance/crowd.rs`; the index sums the weight where exchanges wait.

The new test fails without the condition.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,12 +11,14 @@
 use crate::sums::{Chance, Sum, Tries};
 
 mod channel;
+mod crowd;
 mod evidence;
 mod facts;
 mod look;
 mod table;
 
 use channel::Channel;
+use crowd::{Crowding, Surroundings};
 use table::Home;
 
 // ---- Constants ----
@@ -168,6 +170,7 @@
     strained: Time,        // when it last looked no better
     crowds: bool,          // proxies soon keep away from failing nodes, and crowd onto others
     jammed: Time,          // when so many tries were last lost that proxies crowd
+    crowding: Crowding,    // what proxies bring where they crowd, as it was when nodes were last judged
     capacity: Option<f64>, // work a second that it is believed to do while it falls short, in target times
     amounts: Vec<f64>,     // the level of each class that follows from it, and when the next is worked out
     levelled: Time,
@@ -464,16 +467,6 @@
 }
 
 impl Balance {
-    /// Of a part's listed weight as a zone sees it, which share is warm, and which stands in the table.
-    fn around(&self, part: u16, zone: ZoneId) -> (f64, f64) {
-        let seen = self.index.seen_from((part, zone), self.far());
-        // Cold ones take the place of what is gone: counted beside it, a release looked like a fleet lost. A
-        // line that is shut out bears nothing, however long a full channel keeps it in the table.
-        let listed = seen.warm + seen.cold.max(seen.closed);
-        let tenths = (10.0 * seen.standing / listed - ROUNDING).ceil();
-        (seen.warm / listed, tenths.max(1.0) / 10.0)
-    }
-
     /// Whether classes that keep to their zone may use a node: a cold one might get all of its zone's, and rule 1
     /// asks for warm ones alone.
     fn keeps(&self, node: &Node) -> bool {
@@ -498,7 +491,7 @@
     }
 
     /// The weight that a node should stand at in the shared table; 0 for no line.
-    fn weight(&self, id: &NodeId, node: &Node, (warm, crowd): (f64, f64)) -> f64 {
+    fn weight(&self, id: &NodeId, node: &Node, around: Surroundings) -> f64 {
         if node.barred.is_some() {
             return 0.0;
         }
@@ -508,19 +501,20 @@
         if node.step < RAMP_STEPS {
             let warmth = self.mandate.cold_share + (1.0 - self.mandate.cold_share) * done;
             // Proxies that keep away from nodes failing them crowd onto those that do not, however little
-            // their weight: in a jam a cold node gets no part beside warm ones.
+            // their weight: in a jam, of the fleet or of what they see, a cold node gets no part beside warm ones.
             let (crowds, mut strain) = (self.fleet.crowds, self.fleet.strain);
-            let jam = strain == Strain::Short || self.now < self.fleet.jammed + HOLD;
-            if crowds && jam && warm > 0.0 && self.mandate.strikes > 0 {
+            let flood = around.jammed && around.brought > warmth * self.mandate.fall_multiple;
+            let jam = strain == Strain::Short || self.now < self.fleet.jammed + HOLD || flood;
+            if crowds && jam && around.warm > 0.0 && self.mandate.strikes > 0 {
                 return 0.0;
             }
             if !crowds {
                 // Where much of the fleet starts anew, what is left warm can't bear all meanwhile.
-                share = share.max(warmth * (MASS * (1.0 - warm)).min(1.0));
+                share = share.max(warmth * (MASS * (1.0 - around.warm)).min(1.0));
                 strain = strain.min(Strain::Tense);
             }
             // Rule 4 where few nodes are warm: their missing part must not fall on the cold ones.
-            let most = warmth * self.mandate.fall_multiple * crowd;
+            let most = warmth * self.mandate.fall_multiple * around.stands;
             share = share.min((most * FALL_SHARE[strain as usize]).max(node.room.min(most * FALL_ROOMY)));
             share *= advised.min(1.0);
         } else {
@@ -670,6 +664,7 @@
             return false;
         }
         (self.fleet.judged, self.stirred) = (now, true);
+        self.fleet.crowding = self.crowding();
         // Kin speak for a node only in a cut table, where too little comes to judge most nodes alone.
         let (period, parts, open) = (self.mandate.sums_period, self.table.parts, self.index.open());
         let tries = self.fleet.met.all.rate(now, period) * NODE_MEMORY as f64 / 1e3;
--- /dev/null
+++ b/src/balance/crowd.rs
@@ -0,0 +1,60 @@
+//! How a node stands among the others of its part, as the proxies of its zone see them; and what these would bring
+//! to cold nodes if they crowded onto them. Nothing is decided here.
+
+use super::*;
+use crate::index::Place;
+
+/// Share of the warm weight seen whose nodes must report exchanges that wait, for the place to be jammed.
+const JAMMED: f64 = 0.5;
+
+/// Rates that proxies state, gathered when nodes are judged; empty where the table is not cut, as all proxies
+/// then share all nodes, and the fleet's own jam tells of theirs.
+#[derive(Default)]
+pub(super) struct Crowding {
+    /// Exchanges a second of the bound proxies, by part and their zone.
+    rates: BTreeMap<Place, f64>,
+    /// Exchanges a second that all proxies, whichever conductor they are joined to, bring to a unit of the listed
+    /// weight on average, if those joined here are like the rest.
+    usual: f64,
+}
+
+/// A part's listed weight as a zone sees it.
+pub(super) struct Surroundings {
+    /// The shares of it that are warm, and that stand in the table.
+    pub warm: f64,
+    pub stands: f64,
+    /// Most of the warm nodes report exchanges that wait: proxies may keep away from all of them.
+    pub jammed: bool,
+    /// Times the fleet's usual load that the zone's proxies bring to the cold nodes if they keep to those.
+    pub brought: f64,
+}
+
+impl Balance {
+    pub(super) fn crowding(&self) -> Crowding {
+        let mut crowding = Crowding::default();
+        if self.table.parts == 1 || self.proxies.is_empty() {
+            return crowding;
+        }
+        for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
+            *crowding.rates.entry((proxy.part, proxy.zone)).or_default() += proxy.rate;
+        }
+        let joined = self.proxies.len() as f64;
+        let rate = self.proxies.values().map(|proxy| proxy.rate).sum::<f64>() / joined;
+        let whole = |part| self.index.seen_from((part, ZoneId::default()), 1.0).normal();
+        let normal: f64 = (0..self.table.parts).map(whole).sum();
+        crowding.usual = rate * joined.max(self.mandate.proxies.into()) / normal;
+        crowding
+    }
+
+    pub(super) fn around(&self, part: u16, zone: ZoneId) -> Surroundings {
+        let (seen, crowding) = (self.index.seen_from((part, zone), self.far()), &self.fleet.crowding);
+        let tenths = (10.0 * seen.standing / seen.normal() - ROUNDING).ceil();
+        let rate = crowding.rates.get(&(part, zone)).copied().unwrap_or(0.0);
+        Surroundings {
+            warm: seen.warm / seen.normal(),
+            stands: tenths.max(1.0) / 10.0,
+            jammed: seen.waiting > JAMMED * seen.warm,
+            brought: if rate > 0.0 { rate / seen.cold / crowding.usual } else { 0.0 },
+        }
+    }
+}
--- a/src/balance/facts.rs
+++ b/src/balance/facts.rs
@@ -28,6 +28,7 @@
             home: self.table.home(node.part, node.zone),
             listed: node.listed,
             availability: node.availability(self.now),
+            waiting: node.busy.is_some_and(|busy| busy > 1.0),
             line: self.table.lines.get(&id).copied(),
             ejected: self.withdrawn.contains(&id),
             kept: self.table.kept.contains(&id),
--- a/src/index.rs
+++ b/src/index.rs
@@ -74,6 +74,8 @@
     pub home: Option<Place>,
     pub listed: f64,
     pub availability: Availability,
+    /// Its load reports tell of exchanges that wait there.
+    pub waiting: bool,
     /// The weight of its line in the table, if it has one.
     pub line: Option<f64>,
     /// Shut out at all joined proxies, whatever their tables say.
@@ -93,6 +95,7 @@
     cold: WeightSum,
     closed: WeightSum,
     standing: WeightSum,
+    waiting: WeightSum,
 }
 
 /// Weights of a part as seen from one zone.
@@ -105,6 +108,8 @@
     pub closed: f64,
     /// Weight of lines that proxies may use, of nodes not replaced.
     pub standing: f64,
+    /// Listed weight of the warm nodes at which exchanges wait.
+    pub waiting: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -208,6 +213,9 @@
             Availability::Closed { replaced: false, .. } => weigh(&mut self.closed, listed, add),
             Availability::Closed { replaced: true, .. } => {}
         }
+        if facts.waiting && facts.availability == (Availability::Open { warm: true }) {
+            weigh(&mut self.waiting, listed, add);
+        }
         if let Some(line) = facts.line.filter(|_| !facts.ejected && !replaced) {
             weigh(&mut self.standing, WeightSum::of(line), add);
         }
@@ -220,10 +228,19 @@
             cold: seen(self.cold, all.cold),
             closed: seen(self.closed, all.closed),
             standing: seen(self.standing, all.standing),
+            waiting: seen(self.waiting, all.waiting),
         }
     }
 }
 
+impl PlaceWeights {
+    /// What is normally listed. Cold nodes take the place of closed ones: counted beside them, a release looked
+    /// like a fleet lost.
+    pub fn normal(&self) -> f64 {
+        self.warm + self.cold.max(self.closed)
+    }
+}
+
 impl PartSums {
     fn apply(&mut self, facts: &NodeFacts, add: bool) {
         self.sums.apply(facts, add);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -93,6 +93,18 @@
         }
     }
 
+    /// Each second all nodes of a cut table are met well, and report their load along with it.
+    fn seconds_with_loads(&mut self, seconds: u64, load: impl Fn(u8) -> Option<Load>) {
+        for _ in 0..seconds {
+            for k in 0..32 {
+                let (node, zone, span, mean) = (node(k), ZoneId(0), ms(1_000), ms(100));
+                let met = Met { node, zone, span, tries: 20, lost: 0, mean, load: load(k) };
+                self.balance.met(self.world.now, &met);
+            }
+            self.seconds(1, |_| None);
+        }
+    }
+
     fn pass(&mut self, span: Time) {
         self.world.pass(span, &self.mandate);
         for (mark, took) in self.world.answers(&self.mandate) {
@@ -306,6 +318,32 @@
     assert!(play.weight(4) == 0.0 && (5..8).all(|k| play.weight(k) == 1.0));
 }
 
+/// join+mass 10: a proxy of 82 exchanges a second kept away from all warm nodes that it saw of its zone, where
+/// exchanges waited, and crowded onto a cold one, which fell. The conductor's other parts did well.
+#[test]
+fn a_cold_node_gets_no_part_where_all_else_waits_and_a_busy_proxy_would_crowd_onto_it() {
+    for (waiting, stands) in [(3.0, false), (0.0, true)] {
+        let mut play = Play::cut(2_000.0);
+        play.join_at(300.0, 12, true);
+        play.seconds_with_loads(8, |_| None);
+        let look = play.balance.look();
+        let busy = look.proxies.iter().find(|proxy| proxy.proxy == ProxyId(12)).and_then(|proxy| proxy.part);
+        let near = look.nodes.iter().filter(|node| node.zone == ZoneId(0));
+        let (busy, quiet): (Vec<&NodeLook>, Vec<&NodeLook>) = near.partition(|node| Some(node.part) == busy);
+        let cold = [busy[0].node.0[3], quiet[0].node.0[3]];
+        play.tell(&cold.map(|k| listing(k, Standing::Gone, None)));
+        let load = |k| Some(Load { busy: 0.9, waiting }).filter(|_| !cold.contains(&k));
+        play.seconds_with_loads(2, load);
+        let now = Some(play.world.now);
+        play.tell(&cold.map(|k| listing(k, Standing::Ready, now)));
+        play.seconds_with_loads(1, load);
+        let look = play.balance.look();
+        assert_eq!(look.strain, 0, "nothing shows in the fleet as a whole");
+        let open = cold.map(|k| look.nodes.iter().any(|at| at.node == node(k) && at.stands > 0.0));
+        assert_eq!(open, [stands, true], "where {waiting} wait");
+    }
+}
+
 #[test]
 fn a_zone_that_comes_back_cold_is_ramped_and_a_stall_makes_no_jump() {
     let mut play = Play::new(|_| {});
--- a/tests/index.rs
+++ b/tests/index.rs
@@ -43,6 +43,7 @@
             home: bool::arbitrary(g).then_some((part % 2, zone)),
             listed: weight(g),
             availability,
+            waiting: bool::arbitrary(g),
             line: (below(g, 3) > 0).then(|| weight(g)),
             ejected: bool::arbitrary(g),
             kept: bool::arbitrary(g),
@@ -72,9 +73,9 @@
         })
     }
 
-    /// Warm, cold, recently closed and standing weight of a part as a zone sees it.
-    fn seen_from(&self, (part, zone): Place, far: f64) -> [f64; 4] {
-        let mut seen = [0.0; 4];
+    /// Warm, cold, recently closed, standing and waiting weight of a part as a zone sees it.
+    fn seen_from(&self, (part, zone): Place, far: f64) -> [f64; 5] {
+        let mut seen = [0.0; 5];
         for facts in self.0.values().filter(|facts| facts.part == part) {
             let share = if facts.zone == zone { 1.0 } else { far };
             match facts.availability {
@@ -84,6 +85,9 @@
                 Availability::Closed { replaced: true, .. } => continue,
             }
             seen[3] += share * facts.line.filter(|_| !facts.ejected).unwrap_or(0.0);
+            if facts.waiting && facts.availability == (Availability::Open { warm: true }) {
+                seen[4] += share * facts.listed;
+            }
         }
         seen
     }
@@ -150,7 +154,7 @@
     for place in (0..PARTS).flat_map(|part| (0..ZONES).map(move |zone| (part, ZoneId(zone)))) {
         for far in [1.0, 0.25] {
             let seen = index.seen_from(place, far);
-            let seen = [seen.warm, seen.cold, seen.closed, seen.standing];
+            let seen = [seen.warm, seen.cold, seen.closed, seen.standing, seen.waiting];
             assert_eq!(seen, plain.seen_from(place, far));
         }
         for kind in 0..KINDS {
@@ -200,6 +204,7 @@
         home: None,
         listed,
         availability: Availability::Open { warm: true },
+        waiting: true,
         line: Some(listed),
         ejected: false,
         kept: false,
