Only proxies quick to avoid failing nodes count as a flood of cold ones

Cause: counting all proxies of a part kept cold nodes idle where slower ones could not have crowded onto them.

Change: a proxy counts if its strikes, times the open nodes of a part, by its rate, take less than sums lag behind; slower ones show in the sums first.

--- a/src/balance/crowd.rs
+++ b/src/balance/crowd.rs
@@ -11,7 +11,7 @@
 /// then share all nodes, and the fleet's own jam tells of theirs.
 #[derive(Default)]
 pub(super) struct Crowding {
-    /// Exchanges a second of the bound proxies, by part and their zone.
+    /// Exchanges a second of the bound proxies that are quick to avoid failing nodes, by part and their zone.
     rates: BTreeMap<Place, f64>,
     /// Exchanges a second that all proxies, whichever conductor they are joined to, bring to a unit of the listed
     /// weight on average, if those joined here are like the rest.
@@ -35,7 +35,10 @@
         if self.table.parts == 1 || self.proxies.is_empty() {
             return crowding;
         }
-        for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
+        // Slower ones show in the sums before they keep away from all that fails.
+        let tries = f64::from(self.mandate.strikes) * self.index.open() as f64 / f64::from(self.table.parts);
+        let quick = |proxy: &&Proxy| proxy.bound && tries / proxy.rate < self.mandate.lag().seconds();
+        for proxy in self.proxies.values().filter(quick) {
             *crowding.rates.entry((proxy.part, proxy.zone)).or_default() += proxy.rate;
         }
         let joined = self.proxies.len() as f64;
