--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,7 @@
 const IDLE: f64 = 0.1; // share in use below which they tell no more of it, as they are rough
 const ROOMY_STEP: f64 = 1.25; // times what they showed before from which it is told to proxies
 const GONE_MEMORY: Time = Time::from_ms(600_000); // a node gone for longer is forgotten
+const JAMMED: f64 = 0.5; // share of the warm weight a zone sees whose nodes report exchanges that wait
 const SHUN: Time = Time::from_ms(25_000); // proxies slower to avoid a failing node do not crowd
 const MASS: f64 = 2.0; // where half a part is cold, cold nodes get all that they can do
 const REPLACED: Time = Time::from_ms(30_000); // after which others do the work of a node that is gone
@@ -490,6 +491,12 @@
         if node.zone == zone { 1.0 } else { self.far() }
     }
 
+    /// A proxy that keeps away from the failing nodes of its part before they show in the sums.
+    fn quick(&self, proxy: &Proxy) -> bool {
+        let lines = self.index.open() as f64 / f64::from(self.table.parts);
+        f64::from(self.mandate.strikes) * lines / proxy.rate < self.mandate.lag().seconds()
+    }
+
     /// The weight that a node should stand at in the shared table; 0 for no line.
     fn weight(&self, id: &NodeId, node: &Node, around: Surroundings) -> f64 {
         if node.barred.is_some() {
@@ -535,7 +542,7 @@
     fn flush_due(&self) -> Option<Time> {
         let opened = self.table.opened.into_iter().chain(self.waits.first().map(|wait| wait.1)).min()?;
         let small = self.table.small && self.waits.is_empty();
-        let paced = self.mandate.message_pace(if !self.index.has_open_line() { 1.0 } else { FLUSH_SHARE });
+        let paced = self.mandate.message_pace(if self.index.is_bare() { 1.0 } else { FLUSH_SHARE });
         let paced = self.table.flushed.map_or(Time::default(), |at| at + paced);
         let paced = if small { paced.max(self.table.small_due) } else { paced };
         let full = self.table.buffer.len() >= FLUSH_COUNT;
@@ -899,8 +906,7 @@
     /// with those. Whom a withdrawal is written to takes its changes along, as most of a message is its head.
     fn flush(&mut self, orders: To) -> bool {
         // Rule 1: where no line is left to pick, what is kept for withdrawals serves to lay one.
-        let (bare, along, now) =
-            (!self.index.has_open_line(), std::mem::take(&mut self.channel.along), self.now);
+        let (bare, along, now) = (self.index.is_bare(), std::mem::take(&mut self.channel.along), self.now);
         let (half, share) = (self.channel.half, if bare { 1.0 } else { FLUSH_SHARE });
         // Rule 4: nor may a node that started anew stand at its full weight for long.
         let late = bare || self.table.opened.is_some_and(|at| now >= at + self.mandate.allowed(0.5));
@@ -994,7 +1000,7 @@
             _ => self.channel.half,
         };
         let depth = if pressed { most } else { self.depth() };
-        let share = if pressed || !self.index.has_open_line() { 1.0 } else { FLUSH_SHARE };
+        let share = if pressed || self.index.is_bare() { 1.0 } else { FLUSH_SHARE };
         let due = pressed || self.flush_due().is_some_and(|due| self.now >= due);
         let empty = self.table.lines.is_empty() && self.withdrawn.is_empty();
         let lines = if self.waits.is_empty() { 0.0 } else { self.bind_lines() };
--- a/src/balance/crowd.rs
+++ b/src/balance/crowd.rs
@@ -4,9 +4,6 @@
 use super::*;
 use crate::index::Place;
 
-/// Share of the warm weight seen whose nodes must report exchanges that wait, for the place to be jammed.
-const JAMMED: f64 = 0.5;
-
 /// Rates that proxies state, gathered when nodes are judged; empty where the table is not cut, as all proxies
 /// then share all nodes, and the fleet's own jam tells of theirs.
 #[derive(Default)]
@@ -35,10 +32,7 @@
         if self.table.parts == 1 || self.proxies.is_empty() {
             return crowding;
         }
-        // Slower ones show in the sums before they keep away from all that fails.
-        let tries = f64::from(self.mandate.strikes) * self.index.open() as f64 / f64::from(self.table.parts);
-        let quick = |proxy: &&Proxy| proxy.bound && tries / proxy.rate < self.mandate.lag().seconds();
-        for proxy in self.proxies.values().filter(quick) {
+        for proxy in self.proxies.values().filter(|proxy| proxy.bound && self.quick(proxy)) {
             *crowding.rates.entry((proxy.part, proxy.zone)).or_default() += proxy.rate;
         }
         let joined = self.proxies.len() as f64;
--- a/src/index.rs
+++ b/src/index.rs
@@ -359,9 +359,9 @@
         self.open
     }
 
-    /// Whether proxies may use any line.
-    pub fn has_open_line(&self) -> bool {
-        self.open_lines > 0
+    /// Whether there is no line that proxies may use.
+    pub fn is_bare(&self) -> bool {
+        self.open_lines == 0
     }
 
     /// Weight of all lines, those of ejected nodes among them; and the greatest of any, 0 for none.
--- a/tests/index.rs
+++ b/tests/index.rs
@@ -129,7 +129,7 @@
     assert_eq!(index.lines_weight(), lines().sum::<f64>());
     assert_eq!(index.heaviest_line(), lines().fold(0.0, f64::max));
     assert_eq!(index.open_parts().collect::<BTreeMap<_, _>>(), plain.open_parts());
-    assert_eq!(index.has_open_line(), !plain.open_parts().is_empty());
+    assert_eq!(index.is_bare(), plain.open_parts().is_empty());
     let open_homes: BTreeSet<Place> = plain.homes().filter(|(_, out)| !out).map(|(home, _)| home).collect();
     assert_eq!(index.open_homes().collect::<BTreeSet<_>>(), open_homes);
     assert_eq!(index.longest_tables(), plain.longest_tables());
