A table that takes the channel longer than the grace is bound all the same

Cause, read and then shown: with the bound on what binds lay up, a table longer than the channel sends within the grace fitted never (`bind_waiting`: waiting <= most - lines), so its proxies had none: 0 of 6 bound after a minute in the new test, 6 of 6 now. Who has waited so long gets one whole table's room, within the backlog. A relay takes proxies of any number, as conductors do.

--- a/crates/channel/src/net/relay.rs
+++ b/crates/channel/src/net/relay.rs
@@ -38,7 +38,7 @@
     // Nothing is published before the origin is heard; who comes meanwhile is told to come again then.
     let none = Epoch { conductor: name("none"), life: 0 };
     let publisher = Publisher::new(Json, charge.limits, none, name("none"), Vec::new(), charge.seed);
-    let terms = Terms { zones: None, proxies: 1 << 16, subscribers: charge.subscribers, relay: true };
+    let terms = Terms { zones: None, proxies: u32::MAX, subscribers: charge.subscribers, relay: true };
     let server = Server::new(publisher, terms, clock.clone(), place, events);
     server.publish(|publisher, _| ((), publisher.set_live(false)));
     spawn_local(serve(server.clone(), listener));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -991,11 +991,12 @@
     /// within half the backlog where one has waited so long that rules 1 and 3 are at risk.
     fn bind_waiting(&mut self, orders: To) -> bool {
         let pressed = self.pressed() && !self.table.lines.is_empty();
+        let lines = if self.waits.is_empty() { 0.0 } else { self.bind_lines() };
         // Whoever is bound answers a mark, and ends what the silence of others leaves in doubt.
-        // Who has waited so long goes before withdrawals told of later.
+        // Who has waited so long goes before withdrawals told of later, however long a table takes.
         let late = self.waits.iter().any(|wait| self.now >= wait.1 + self.mandate.allowed(DEEP));
         let most = match pressed {
-            true if late => self.channel.most,
+            true if late => self.channel.most.max(lines.min(self.mandate.backlog)),
             true if self.index.to_eject().is_empty() => self.deep(),
             _ => self.channel.half,
         };
@@ -1003,7 +1004,6 @@
         let share = if pressed || self.index.is_bare() { 1.0 } else { FLUSH_SHARE };
         let due = pressed || self.flush_due().is_some_and(|due| self.now >= due);
         let empty = self.table.lines.is_empty() && self.withdrawn.is_empty();
-        let lines = if self.waits.is_empty() { 0.0 } else { self.bind_lines() };
         let unanswered = (most + self.mandate.backlog) / 2.0;
         let room = |channel: &Channel| {
             let (book, marks) = (&channel.book, channel.written.len() as f64); // of this turn, not booked yet
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -620,3 +620,12 @@
     assert_eq!(play.world.bound.len(), 2_000);
     assert_eq!(play.world.moves.len() + play.world.table.len(), 2_000, "each node stands once");
 }
+
+/// Guards against proxies that are never bound, as one table takes the channel longer than a drain may wait.
+#[test]
+fn a_table_that_takes_the_channel_longer_than_the_grace_is_bound_all_the_same() {
+    // A table of eight lines counts twenty with its levels, mark and head; ten leave within the grace.
+    let mut play = Play::new(|mandate| (mandate.channel_pace, mandate.backlog) = (4.0, 60.0));
+    play.seconds(60, |_| None);
+    assert_eq!(play.world.bound.len(), 6);
+}
