The allocation test writes its drains: at 6,000 nodes none was bound before

The stand-in's channel was too narrow for 6,000 nodes, so 5 of 7 proxies at 600 nodes and none at 6,000 were bound and no drain was written: the test could not fail. It has a wide channel now and asserts 7 tables and 70 messages. It still passes with the former map of ejections, as a drain's line goes out with it and nothing is put into that map: that the shared map and the smaller side matter is shown by no test yet.

--- a/crates/memory/tests/allocation.rs
+++ b/crates/memory/tests/allocation.rs
@@ -38,7 +38,11 @@
     fn joined(nodes: usize) -> Conductor {
         let now = Time::from_ms(1_000_000);
         let start = Start {
-            mandate: oatpitch_standins::mandate::mandate(PROXIES.into(), 100_000.0),
+            mandate: Mandate {
+                channel_pace: 1e9,
+                backlog: 1e9,
+                ..oatpitch_standins::mandate::mandate(PROXIES.into(), 100_000.0)
+            },
             classes: 2,
             seed: 7,
             known: MembershipUpdate::default(),
@@ -84,7 +88,12 @@
             self.tell(vec![entry(k, Standing::Draining)], false);
             (0..5).for_each(|_| self.turn(Vec::new()));
         }
-        region.change().bytes_allocated
+        let bytes = region.change().bytes_allocated;
+        // What was not written cost nothing.
+        let written = format!("messages to proxies={},", usize::from(PROXIES) * (1 + DRAINS));
+        let counters = self.memory.counters.to_string();
+        assert!(counters.contains(&written) && counters.contains("whole tables=7"), "{counters}");
+        bytes
     }
 }
 
