Review case 2: a zone back from a loss gets no exchanges of classes that keep to it

Shown: rule 1 is broken after a lost zone has returned, for a class that goes only to nodes of the proxy's zone.

--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -6,11 +6,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::collector::Collector;
 use crate::conductor::Conductor;
 use crate::discovery::{Agent, Entry};
 use crate::dispatcher::{Class, Dispatcher};
 use crate::record::Record;
 use crate::rule_no_node::NoNodeCheck;
+use crate::servers::Servers;
 use crate::settings::{self, Day, ZONES};
 
 /// Interval at which the rule is checked.
@@ -33,6 +35,7 @@
     pub conductors: Vec<Conductor>,
     pub dispatchers: Vec<Dispatcher>,
     pub check: NoNodeCheck,
+    pub servers: Servers,
     stop: Arc<AtomicBool>,
     /// A folder of the run's own, removed at its end.
     folder: PathBuf,
@@ -71,6 +74,7 @@
             conductors,
             dispatchers: Vec::new(),
             check,
+            servers: Servers::new(&nodes(day.nodes)),
             stop: Arc::default(),
             folder,
         })
@@ -111,12 +115,32 @@
                 &self.classes,
                 &standing,
                 conductors,
+                &self.servers,
                 &self.record,
                 &self.stop,
             ));
         }
     }
 
+    /// Starts a collector for each zone at each conductor.
+    pub fn start_collectors(&self) {
+        for (place, conductor) in self.conductors.iter().enumerate() {
+            for zone in ZONES {
+                let of_zone = self.dispatchers.iter().filter(|dispatcher| dispatcher.zone == zone);
+                let collector = Collector {
+                    place,
+                    address: conductor.listen,
+                    zone,
+                    dispatchers: of_zone.cloned().collect(),
+                    servers: self.servers.clone(),
+                    record: self.record.clone(),
+                    stop: self.stop.clone(),
+                };
+                collector.start();
+            }
+        }
+    }
+
     /// Checks the rule for a time.
     pub fn watch_rule(&mut self, time: Duration) {
         let end = Instant::now() + time;
--- a/review/standins/discovery.rs
+++ b/review/standins/discovery.rs
@@ -97,6 +97,19 @@
         self.state.lock().unwrap().nodes.values().cloned().collect()
     }
 
+    /// Publishes changed entries, as one line of each watch.
+    pub fn change(&self, entries: &[Entry]) {
+        let mut state = self.state.lock().unwrap();
+        for entry in entries {
+            if entry.state == "left" {
+                state.nodes.remove(&entry.name);
+            } else {
+                state.nodes.insert(entry.name.clone(), entry.clone());
+            }
+        }
+        self.publish(&mut state, false, entries);
+    }
+
     /// Publishes a whole list, as one line of each watch. A node that is not in it has been removed.
     pub fn replace(&self, entries: &[Entry]) {
         let mut state = self.state.lock().unwrap();
--- a/review/standins/dispatcher.rs
+++ b/review/standins/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::json::{self, Value};
 use crate::record::Record;
+use crate::servers::{Answer, Servers};
 
 /// Time between two looks at the stream, and between two exchanges of a class.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
@@ -29,6 +30,27 @@
     pub name: &'static str,
     /// Whether its exchanges go only to nodes of the dispatcher's zone.
     pub home_only: bool,
+    /// The work of an exchange, on a core of speed 1.
+    pub work: Duration,
+    /// The time after which a client gives up.
+    pub cut_off: Duration,
+}
+
+/// What a dispatcher met at a node.
+#[derive(Clone, Copy, Default)]
+pub struct Met {
+    pub tries: u32,
+    pub failed: u32,
+    /// Sum of the times of those that did not fail.
+    pub time: Duration,
+}
+
+impl Met {
+    pub fn add(&mut self, other: &Met) {
+        self.tries += other.tries;
+        self.failed += other.failed;
+        self.time += other.time;
+    }
 }
 
 /// The stream that a dispatcher has now.
@@ -48,8 +70,8 @@
     pub joined: Option<Joined>,
     /// Whether it holds no table that was ordered.
     pub fresh: bool,
-    /// Tries since the last reports, by class and node.
-    pub tries: BTreeMap<(usize, String), u32>,
+    /// What it met at each node since the last sums.
+    pub met: BTreeMap<String, Met>,
     /// Exchanges since the last report on usage, by class: all, and those that found no node.
     usage: Vec<(u32, u32)>,
 }
@@ -69,11 +91,10 @@
     pub zone: &'static str,
     pub state: Arc<Mutex<State>>,
     classes: Arc<Vec<Class>>,
+    servers: Servers,
     record: Record,
     /// Set at the end of the case.
     stop: Arc<AtomicBool>,
-    /// Set to have the next stream dialled only once it is unset.
-    pub is_away: Arc<AtomicBool>,
     /// The conductors in the order in which they are dialled, by place and address.
     conductors: Vec<(usize, SocketAddr)>,
 }
@@ -86,6 +107,7 @@
         classes: &Arc<Vec<Class>>,
         standing: &[String],
         conductors: Vec<(usize, SocketAddr)>,
+        servers: &Servers,
         record: &Record,
         stop: &Arc<AtomicBool>,
     ) -> Dispatcher {
@@ -95,7 +117,7 @@
             ejected: BTreeSet::new(),
             joined: None,
             fresh: true,
-            tries: BTreeMap::new(),
+            met: BTreeMap::new(),
             usage: vec![(0, 0); classes.len()],
         };
         let dispatcher = Dispatcher {
@@ -103,9 +125,9 @@
             zone,
             state: Arc::new(Mutex::new(state)),
             classes: classes.clone(),
+            servers: servers.clone(),
             record: record.clone(),
             stop: stop.clone(),
-            is_away: Arc::default(),
             conductors,
         };
         let streaming = dispatcher.clone();
@@ -126,14 +148,12 @@
     /// Dials the conductors in turn, its own first, and follows each stream until it breaks.
     fn keep_stream(&self) {
         while !self.is_stopped() {
-            if !self.is_away.load(Ordering::Relaxed) {
-                for (place, address) in &self.conductors {
-                    let Ok(stream) = TcpStream::connect(address) else { continue };
-                    let result = self.follow(stream, *place);
-                    self.state.lock().unwrap().joined = None;
-                    self.note(&format!("stream to conductor {} ended: {result:?}", place + 1));
-                    break;
-                }
+            for (place, address) in &self.conductors {
+                let Ok(stream) = TcpStream::connect(address) else { continue };
+                let result = self.follow(stream, *place);
+                self.state.lock().unwrap().joined = None;
+                self.note(&format!("stream to conductor {} ended: {result:?}", place + 1));
+                break;
             }
             let redial_ms = MIN_REDIAL_MS + REDIAL_STEP_MS * (self.number as u64 % 12);
             thread::sleep(Duration::from_millis(redial_ms));
@@ -154,7 +174,7 @@
         let mut received: Vec<u8> = Vec::new();
         let mut message: Vec<Value> = Vec::new();
         let mut reported = Instant::now();
-        while !self.is_stopped() && !self.is_away.load(Ordering::Relaxed) {
+        while !self.is_stopped() {
             let mut bytes = [0; 16 << 10];
             match stream.read(&mut bytes) {
                 Ok(0) => return Ok(()),
@@ -263,18 +283,26 @@
         }
         state.usage[class].0 += 1;
         let name = self.classes[class].name;
-        match picked {
-            Some(node) => {
-                *state.tries.entry((class, node.clone())).or_default() += 1;
-                drop(state);
-                self.note(&format!("{name} sent to {node}"));
+        let Some(node) = picked else {
+            state.usage[class].1 += 1;
+            drop(state);
+            return self.note(&format!("{name} refused: no node to pick"));
+        };
+        let Class { work, cut_off, .. } = self.classes[class];
+        let mut met = Met { tries: 1, ..Met::default() };
+        let outcome = match self.servers.send(&node, work, cut_off) {
+            Answer::Done(time) => {
+                met.time = time;
+                format!("answered in {} ms", time.as_millis())
             }
-            None => {
-                state.usage[class].1 += 1;
-                drop(state);
-                self.note(&format!("{name} refused: no node to pick"));
+            Answer::Failed => {
+                met.failed = 1;
+                "failed".to_string()
             }
-        }
+        };
+        state.met.entry(node.clone()).or_default().add(&met);
+        drop(state);
+        self.note(&format!("{name} sent to {node}: {outcome}"));
     }
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,8 @@
 //! repository. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod case_1;
+mod case_2;
+mod collector;
 mod conductor;
 mod deployment;
 mod discovery;
@@ -9,6 +11,7 @@
 mod json;
 mod record;
 mod rule_no_node;
+mod servers;
 mod settings;
 
 use std::path::Path;
@@ -28,6 +31,10 @@
             &mut Deployment::new(&root, folder, settings::SOCKET_SIZE, case_1::classes())?,
             has_trouble,
         ),
+        "2" => case_2::run(
+            &mut Deployment::new(&root, folder, settings::FIRST_SIZE, case_2::classes())?,
+            has_trouble,
+        ),
         _ => Err(std::io::Error::other("no such case")),
     }
 }
--- a/review/standins/settings.rs
+++ b/review/standins/settings.rs
@@ -1,5 +1,7 @@
 //! The settings of a small deployment: those of the example in the page of the simulator's wire.
 
+use std::time::Duration;
+
 use crate::dispatcher::Class;
 
 /// The zones of the deployment.
@@ -15,12 +17,21 @@
     pub grace_ms: u64,
 }
 
+/// The first size of `santiago-new`.
+pub const FIRST_SIZE: Day = Day { dispatchers: 12, nodes: 12, conductors: 2, grace_ms: 3_000 };
+
 /// The size of `santiago-new` on the days of the bench on sockets, with the shortest grace that its brief states.
 pub const SOCKET_SIZE: Day = Day { dispatchers: 150, nodes: 30, conductors: 2, grace_ms: 1_500 };
 
 /// The classes of the deployment; `home_only` says which keep to the dispatcher's zone.
 pub fn classes(home_only: [bool; 2]) -> Vec<Class> {
-    vec![Class { name: "quote", home_only: home_only[0] }, Class { name: "advance", home_only: home_only[1] }]
+    let class = |name, home_only, work_ms, cut_off_ms| Class {
+        name,
+        home_only,
+        work: Duration::from_millis(work_ms),
+        cut_off: Duration::from_millis(cut_off_ms),
+    };
+    vec![class("quote", home_only[0], 215, 4_000), class("advance", home_only[1], 85, 1_000)]
 }
 
 /// Time limit of the first rule, in milliseconds (`specifics.blackhole_us`).
