Review case 3: a conductor started with an empty list never tells dispatchers to stop

Shown: rule 3 is broken when a conductor whose list emptied is restarted and dispatchers of another one join it.

--- a/review/standins/case_2.rs
+++ b/review/standins/case_2.rs
@@ -30,25 +30,25 @@
     deployment.start_conductors()?;
     deployment.start_dispatchers();
     deployment.start_collectors();
-    deployment.watch_rule(QUIET);
+    deployment.watch_rules(QUIET);
     if has_trouble {
         let entries = deployment.conductors[0].agent.entries();
         let lost: Vec<Entry> = entries.into_iter().filter(|entry| entry.zone == LOST_ZONE).collect();
         let names: Vec<String> = lost.iter().map(|entry| entry.name.clone()).collect();
         deployment.record.tell(&format!("{LOST_ZONE} is lost: {names:?}"));
         deployment.servers.end(&names);
-        deployment.watch_rule(NOTICE);
+        deployment.watch_rules(NOTICE);
         tell(deployment, &lost, "left", 0);
-        deployment.watch_rule(LOST);
+        deployment.watch_rules(LOST);
         deployment.record.tell(&format!("{LOST_ZONE} is back, cold"));
         deployment.servers.start(&names);
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        deployment.watch_rule(BACK_NOTICE);
+        deployment.watch_rules(BACK_NOTICE);
         tell(deployment, &lost, "active", now.as_millis() as u64);
     } else {
-        deployment.watch_rule(NOTICE + LOST + BACK_NOTICE);
+        deployment.watch_rules(NOTICE + LOST + BACK_NOTICE);
     }
-    deployment.watch_rule(AFTER);
+    deployment.watch_rules(AFTER);
     deployment.check.tell();
     Ok(deployment.check.broken)
 }
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -11,11 +11,12 @@
 use crate::discovery::{Agent, Entry};
 use crate::dispatcher::{Class, Dispatcher};
 use crate::record::Record;
+use crate::rule_drains::DrainCheck;
 use crate::rule_no_node::NoNodeCheck;
 use crate::servers::Servers;
 use crate::settings::{self, Day, ZONES};
 
-/// Interval at which the rule is checked.
+/// Interval at which the rules are checked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time for which a conductor is away at a planned restart.
@@ -35,6 +36,7 @@
     pub conductors: Vec<Conductor>,
     pub dispatchers: Vec<Dispatcher>,
     pub check: NoNodeCheck,
+    pub drain_check: DrainCheck,
     pub servers: Servers,
     stop: Arc<AtomicBool>,
     /// A folder of the run's own, removed at its end.
@@ -67,6 +69,7 @@
             conductors.push(Conductor::new(&name, &agent, &settings, root, &folder, &record)?);
         }
         let check = NoNodeCheck::new(day.dispatchers, classes.len(), &record);
+        let drain_check = DrainCheck::new(day.grace_ms, &record);
         Ok(Deployment {
             record,
             day,
@@ -74,6 +77,7 @@
             conductors,
             dispatchers: Vec::new(),
             check,
+            drain_check,
             servers: Servers::new(&nodes(day.nodes)),
             stop: Arc::default(),
             folder,
@@ -94,7 +98,7 @@
         self.record.tell(&format!("planned restart of conductor {}", place + 1));
         let known = self.conductors[place].agent.whole_list();
         self.conductors[place].stop();
-        self.watch_rule(RESTART_TIME);
+        self.watch_rules(RESTART_TIME);
         self.conductors[place].start(&known)
     }
 
@@ -141,11 +145,12 @@
         }
     }
 
-    /// Checks the rule for a time.
-    pub fn watch_rule(&mut self, time: Duration) {
+    /// Checks the rules for a time.
+    pub fn watch_rules(&mut self, time: Duration) {
         let end = Instant::now() + time;
         while Instant::now() < end {
             self.check.look(&self.dispatchers, &self.classes, &self.conductors);
+            self.drain_check.look(&self.dispatchers, &self.conductors);
             thread::sleep(LOOK_INTERVAL);
         }
     }
--- a/review/standins/dispatcher.rs
+++ b/review/standins/dispatcher.rs
@@ -70,6 +70,8 @@
     pub joined: Option<Joined>,
     /// Whether it holds no table that was ordered.
     pub fresh: bool,
+    /// When it last sent an exchange to each node.
+    pub sent: BTreeMap<String, Instant>,
     /// What it met at each node since the last sums.
     pub met: BTreeMap<String, Met>,
     /// Exchanges since the last report on usage, by class: all, and those that found no node.
@@ -117,6 +119,7 @@
             ejected: BTreeSet::new(),
             joined: None,
             fresh: true,
+            sent: BTreeMap::new(),
             met: BTreeMap::new(),
             usage: vec![(0, 0); classes.len()],
         };
@@ -300,6 +303,7 @@
                 "failed".to_string()
             }
         };
+        state.sent.insert(node.clone(), Instant::now());
         state.met.entry(node.clone()).or_default().add(&met);
         drop(state);
         self.note(&format!("{name} sent to {node}: {outcome}"));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod case_1;
 mod case_2;
+mod case_3;
 mod collector;
 mod conductor;
 mod deployment;
@@ -10,6 +11,7 @@
 mod dispatcher;
 mod json;
 mod record;
+mod rule_drains;
 mod rule_no_node;
 mod servers;
 mod settings;
@@ -35,6 +37,10 @@
             &mut Deployment::new(&root, folder, settings::FIRST_SIZE, case_2::classes())?,
             has_trouble,
         ),
+        "3" => case_3::run(
+            &mut Deployment::new(&root, folder, settings::FIRST_SIZE, case_3::classes())?,
+            has_trouble,
+        ),
         _ => Err(std::io::Error::other("no such case")),
     }
 }
