--- a/review/standins/case_1.rs
+++ b/review/standins/case_1.rs
@@ -22,22 +22,22 @@
 pub fn run(deployment: &mut Deployment, has_trouble: bool) -> std::io::Result<usize> {
     deployment.start_conductors()?;
     deployment.start_dispatchers();
-    deployment.watch_rules(QUIET);
+    deployment.watch_rule(QUIET);
     // All conductors are restarted, one at a time. Dispatchers stay where they are once their stream broke.
     deployment.restart(1)?;
-    deployment.watch_rules(QUIET);
+    deployment.watch_rule(QUIET);
     if has_trouble {
         let entries = deployment.conductors[0].agent.entries();
         let kept: Vec<Entry> = entries.into_iter().filter(|entry| entry.zone != DROPPED_ZONE).collect();
         deployment.conductors[0].agent.replace(&kept);
     }
-    deployment.watch_rules(DROPPED);
+    deployment.watch_rule(DROPPED);
     deployment.restart(0)?;
-    deployment.watch_rules(AFTER);
+    deployment.watch_rule(AFTER);
     deployment.check.tell();
     Ok(deployment.check.broken)
 }
 
 pub fn classes() -> Vec<crate::dispatcher::Class> {
-    settings::classes([false, true])
+    settings::classes([false, true], 1.0)
 }
--- a/review/standins/case_3.rs
+++ b/review/standins/case_3.rs
@@ -30,25 +30,25 @@
     deployment.start_conductors()?;
     deployment.start_dispatchers();
     deployment.start_collectors();
-    deployment.watch_rules(QUIET);
+    deployment.watch_rule(QUIET);
     if has_trouble {
         let entries = deployment.conductors[0].agent.entries();
         let lost: Vec<Entry> = entries.into_iter().filter(|entry| entry.zone == LOST_ZONE).collect();
         let names: Vec<String> = lost.iter().map(|entry| entry.name.clone()).collect();
         deployment.record.tell(&format!("{LOST_ZONE} is lost: {names:?}"));
         deployment.servers.end(&names);
-        deployment.watch_rules(NOTICE);
+        deployment.watch_rule(NOTICE);
         tell(deployment, &lost, "left", 0);
-        deployment.watch_rules(LOST);
+        deployment.watch_rule(LOST);
         deployment.record.tell(&format!("{LOST_ZONE} is back, cold"));
         deployment.servers.start(&names);
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        deployment.watch_rules(BACK_NOTICE);
+        deployment.watch_rule(BACK_NOTICE);
         tell(deployment, &lost, "active", now.as_millis() as u64);
     } else {
-        deployment.watch_rules(NOTICE + LOST + BACK_NOTICE);
+        deployment.watch_rule(NOTICE + LOST + BACK_NOTICE);
     }
-    deployment.watch_rules(AFTER);
+    deployment.watch_rule(AFTER);
     deployment.check.tell();
     Ok(deployment.check.broken)
 }
@@ -60,5 +60,5 @@
 }
 
 pub fn classes() -> Vec<Class> {
-    settings::classes([false, true])
+    settings::classes([false, true], 1.0)
 }
