--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,7 +7,8 @@
 //!
 //! This file holds the state, the list of rules and the inputs. The rules stand in a file for each topic:
 //! `roster`, `bindings` (withdrawals and bindings), `health`, `levels` and `flush`. The other files hold what
-//! the rules share: `weights`, `limits`, `table`, `channel`, `evidence`, `herding`, `facts` and `snapshot`.
+//! the rules share: `strain`, `weights`, `limits`, `table`, `channel`, `evidence`, `herding`, `facts` and
+//! `snapshot`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::{self, Display, Formatter};
@@ -28,6 +29,7 @@
 mod limits;
 mod roster;
 mod snapshot;
+mod strain;
 mod table;
 mod weights;
 
@@ -36,6 +38,7 @@
 use evidence::{Evidence, Symptoms};
 use flush::BoundProxy;
 use herding::{LoadShift, Surroundings};
+use strain::Strain;
 use table::OwnZoneTable;
 
 // ---- Constants that several files use ----
@@ -223,30 +226,6 @@
     binds_first_until: Time,
 }
 
-/// How far the fleet as a whole falls short of its work. Further tries would feed an overload.
-#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-enum Strain {
-    /// The fleet keeps up.
-    #[default]
-    Low,
-    /// Only tries that never ran are repeated.
-    Moderate,
-    /// No try is repeated.
-    Severe,
-}
-
-impl Display for Strain {
-    /// Writes the name that the log has for it. These names are older than the variants' and must stay, as
-    /// they travel on the simulator's wire.
-    fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
-        to.write_str(match self {
-            Strain::Low => "Calm",
-            Strain::Moderate => "Tense",
-            Strain::Severe => "Short",
-        })
-    }
-}
-
 /// The fleet as a whole.
 #[derive(Default)]
 struct Fleet {
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -165,9 +165,7 @@
     /// Whether enough is reported of most nodes to judge each by itself. Only a split table may have too
     /// little for that; there, nodes of the same kind supplement each other.
     fn has_evidence_per_node(&self) -> bool {
-        let rate = self.fleet.tries.count.rate(self.now, self.settings.summary_period);
-        let tries = rate * NODE_DECAY_MS as f64 / 1e3;
-        self.table.parts == 1 || tries >= EVIDENCE_TRIES * self.index.ready_count() as f64
+        self.table.parts == 1 || self.recent_tries() >= EVIDENCE_TRIES * self.index.ready_count() as f64
     }
 
     /// Returns the figures of the whole fleet by which nodes are judged now.
--- a/src/balance/levels.rs
+++ b/src/balance/levels.rs
@@ -1,16 +1,7 @@
-//! Strain of the fleet, and the levels that limit what is admitted while it falls short.
+//! Levels, which limit what is admitted while the fleet falls short of its work.
 
 use super::*;
 
-/// Share of failed tries above which the fleet is moderately strained.
-const MODERATE_FAILED_SHARE: f64 = 0.03;
-
-/// Mean time, as a share of the mean target time, above which the fleet is moderately strained.
-const MODERATE_TIME_SHARE: f64 = 0.22;
-
-/// Mean time, as a share of the mean target time, above which the fleet is severely strained.
-const SEVERE_TIME_SHARE: f64 = 0.8;
-
 /// Smallest factor by which one cut reduces the admitted work.
 const LEVEL_CUT_FACTOR_MIN: f64 = 0.5;
 
@@ -21,31 +12,6 @@
 const LEVEL_RAISE_FACTOR: f64 = 1.25;
 
 impl Balance {
-    /// Updates the strain of the fleet by the share of failed tries and the mean time as a share of the
-    /// target. A greater strain applies at once, a smaller one only after [`HOLD_TIME`].
-    pub(super) fn update_strain(&mut self, failed_share: f64, time_share: f64, orders: &mut dyn Orders) {
-        let strain = if failed_share > SEVERE_FAILED_SHARE || time_share > SEVERE_TIME_SHARE {
-            Strain::Severe
-        } else if failed_share > MODERATE_FAILED_SHARE || time_share > MODERATE_TIME_SHARE {
-            Strain::Moderate
-        } else {
-            Strain::Low
-        };
-        let grows = strain > self.fleet.strain;
-        if grows {
-            orders.log_note(
-                None,
-                &format!("fleet {strain}: {failed_share:.2} of tries lost, {time_share:.2} of target"),
-            );
-        }
-        if strain >= self.fleet.strain {
-            self.fleet.strain_last_confirmed_at = self.now;
-        }
-        if grows || self.now >= self.fleet.strain_last_confirmed_at + HOLD_TIME {
-            self.fleet.strain = strain;
-        }
-    }
-
     /// Sets how much of each class is admitted while the fleet falls short. Levels follow from the reported
     /// demand and the estimated capacity, which goes to the classes with the highest gain for their work
     /// first. The target time of a class stands for its work. What is not admitted is refused at once.
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -6,6 +6,8 @@
 
 use oatpitch::interface::*;
 
+pub mod scenario;
+
 pub fn ms(ms: u64) -> Time {
     Time::from_ms(ms)
 }
