Log when a strain of the fleet is taken to be over, and by how much evidence

The log told when the strain grows, never when it ends, so it could not tell a fleet that was heard to keep up from one of which nothing was heard. The new line states the tries reported lately and the joined proxies.

--- a/src/balance/strain.rs
+++ b/src/balance/strain.rs
@@ -64,6 +64,15 @@
             );
             self.fleet.strain = strain;
         } else if strain < former && self.now >= self.fleet.strain_last_confirmed_at + HOLD_TIME {
+            let tries = self.recent_tries();
+            orders.log_note(
+                None,
+                &format!(
+                    "fleet eased to {strain}: {failed_share:.2} of {tries:.0} tries failed, {time_share:.2} of \
+                     target, {} proxies joined",
+                    self.proxies.len()
+                ),
+            );
             self.fleet.strain = strain;
         }
     }
--- a/tests/helpers/scenario.rs
+++ b/tests/helpers/scenario.rs
@@ -47,8 +47,7 @@
 
     /// Eight ready nodes and no joined proxy.
     pub fn without_proxies(settings: ServiceSettings) -> Scenario {
-        let mut host = FakeHost::default();
-        host.now = ms(60_000);
+        let mut host = FakeHost { now: ms(60_000), ..FakeHost::default() };
         let mut balance = Balance::start(host.now, settings.clone(), 7, &mut host);
         host.known_nodes.extend((0..8).map(node));
         let entries: Vec<RosterEntry> = (0..8).map(ready_entry).collect();
