A conductor that has heard of no try takes the fleet to be short, not to keep up

What callers saw: two conductors are restarted one after the other while a zone is lost and a release goes on.

Cause: the strain was worked out from decaying sums, and a sum of nothing reads as no failed try and no time. It fell 4 s after a start without a single report.

Change: the strain is unknown, and counts as severe, where nobody has joined or where most of the rates are those of proxies that joined within 4 s and under 8 tries were reported lately; what follows for the table is flushed before they are bound. A strain ends only after 8 tries reported, or with no exchange at the joined proxies. Why this works: the first table that proxies get from such a conductor has no cold line beside warm ones and no retry, whatever order joining, reports and binds come in.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,7 +38,7 @@
 use evidence::{Evidence, Symptoms};
 use flush::BoundProxy;
 use herding::{LoadShift, Surroundings};
-use strain::Strain;
+use strain::{JoinedRates, Strain, StrainEvidence};
 use table::OwnZoneTable;
 
 // ---- Constants that several files use ----
@@ -224,6 +224,8 @@
     flush_blocked: bool,
     /// Until then proxies that wait to be bound go before further changes.
     binds_first_until: Time,
+    /// Whether the pending changes go before proxies that wait to be bound, and without delay.
+    flush_at_once: bool,
 }
 
 /// The fleet as a whole.
@@ -238,6 +240,12 @@
     strain: Strain,
     /// Last check at which the measured strain was at least [`Fleet::strain`].
     strain_last_confirmed_at: Time,
+    /// When a proxy last joined while nothing that was reported told the strain.
+    strain_unknown_at: Time,
+    /// What was reported since the strain was last confirmed.
+    strain_evidence: StrainEvidence,
+    /// Rates of the joined proxies, as they were at the last check, and of those that joined since.
+    joined_rates: JoinedRates,
     /// Whether proxies are quick to avoid failing nodes, and so shift their load to the remaining nodes.
     proxies_shift_load: bool,
     /// When the share of failed tries was last so high that proxies shift their load.
@@ -411,8 +419,10 @@
             demand: vec![DecayingSum::default(); self.settings.class_terms.len()],
             messages: VecDeque::new(),
         };
+        let rate = joined.rate;
         self.unbound.insert(joined.queue_entry(proxy));
         self.proxies.insert(proxy, joined);
+        self.count_newcomer(rate);
     }
 
     /// Removes a proxy that left.
@@ -427,6 +437,7 @@
         self.begin_turn(now);
         let failed = summary.failed.min(summary.tries);
         self.fleet.tries.add(now, summary, failed);
+        self.record_strain_tries(summary.tries);
         if failed < summary.tries {
             self.fleet.last_success = now;
         }
@@ -440,9 +451,11 @@
     pub fn record_demand(&mut self, now: Time, report: &DemandReport) {
         self.begin_turn(now);
         let Some(proxy) = report.proxy.and_then(|proxy| self.proxies.get_mut(&proxy)) else { return };
+        let exchanges = report.exchanges;
         if let Some(demand) = proxy.demand.get_mut(usize::from(report.class.0)) {
-            demand.add(now, report.exchanges.into());
+            demand.add(now, exchanges.into());
         }
+        self.record_strain_exchanges(exchanges);
     }
 
     /// Evaluates the rules. The host calls it after all inputs of this time.
@@ -476,6 +489,7 @@
     fn remove_proxy(&mut self, proxy: ProxyId) {
         if let Some(removed) = self.proxies.remove(&proxy) {
             self.unbound.remove(&removed.queue_entry(proxy));
+            self.count_leaver(removed.joined_at, removed.rate);
         }
     }
 }
--- a/src/balance/flush.rs
+++ b/src/balance/flush.rs
@@ -74,6 +74,7 @@
         let levels_differ = self.table.levels.values().any(|levels| *levels != target);
         self.table.only_small_changes = !levels_differ && self.table.large_changes.is_empty();
         let is_pending = levels_differ || !self.table.buffer.is_empty();
+        self.table.flush_at_once &= is_pending;
         let since = is_pending.then(|| self.table.pending_since.unwrap_or(self.now));
         let former = std::mem::replace(&mut self.table.pending_since, since);
         since != former
@@ -146,9 +147,9 @@
     /// reached, and little waits in the channel. Unless they are late, changes wait for proxies that must be
     /// bound soon, and then alternate with those.
     fn full_flush_is_due(&self, is_late: bool, queue_limit: f64) -> bool {
-        let is_due = self.flush_due().is_some_and(|due| self.now >= due);
+        let is_due = self.table.flush_at_once || self.flush_due().is_some_and(|due| self.now >= due);
         let binds_first = self.now < self.table.binds_first_until || self.binds_are_urgent();
-        let is_held = !is_late && !self.unbound.is_empty() && binds_first;
+        let is_held = !is_late && !self.table.flush_at_once && !self.unbound.is_empty() && binds_first;
         self.table.pending_since.is_some()
             && is_due
             && !is_held
@@ -331,6 +332,7 @@
         self.table.binds_first_until = after(FLUSH_WAIT_FACTOR);
         self.table.small_changes_due = after(SMALL_CHANGE_WAIT_FACTOR);
         if flush.covers_all_parts {
+            self.table.flush_at_once = false;
             self.table.flushed_at = Some(self.now);
             self.table.pending_since = None;
         }
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -155,7 +155,12 @@
         let fleet = self.fleet_health(&evidence);
         let (all_failed_share, all_time) = self.fleet.tries.failure_share_and_mean_time(self.now);
         self.update_load_shift(all_failed_share);
-        self.update_strain(fleet.median_failed_share, all_time / fleet.target_time, orders);
+        self.update_joined_rates();
+        if self.strain_is_unknown() {
+            self.update_unknown_strain();
+        } else {
+            self.update_strain(fleet.median_failed_share, all_time / fleet.target_time, orders);
+        }
         for id in self.nodes_to_check(&evidence, &fleet) {
             self.check_node(id, &evidence, &fleet, orders);
         }
