Unreported tries leave the strain unknown, and levels as they are

What callers would see: collectors fall silent while exchanges go on. Some 11 s later the decayed sums read as a fleet that keeps up: levels were raised by a quarter at a time although nothing was heard, and in a fleet that had been well cold nodes kept their share and retries went on.

The time of the last report was not known.

Change: where exchanges come to joined proxies, one report soon after the other, and no try is reported for as long as reports lag behind and 4 s more, the strain is unknown, as at a take-over; while it is, the capacity that levels follow from is neither raised nor cut. A strain that was assumed is logged: "fleet Short: 0 tries reported, ...".

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -242,7 +242,9 @@
     strain_last_confirmed_at: Time,
     /// When a proxy last joined while nothing that was reported told the strain.
     strain_unknown_at: Time,
-    /// What was reported since the strain was last confirmed.
+    /// Whether the strain was assumed to be severe, for lack of reports, and that was not logged yet.
+    assumed_strain_unlogged: bool,
+    /// What was reported that shows the strain.
     strain_evidence: StrainEvidence,
     /// Rates of the joined proxies, as they were at the last check, and of those that joined since.
     joined_rates: JoinedRates,
@@ -437,7 +439,7 @@
         self.begin_turn(now);
         let failed = summary.failed.min(summary.tries);
         self.fleet.tries.add(now, summary, failed);
-        self.record_strain_tries(summary.tries);
+        self.fleet.strain_evidence.record_tries(summary.tries);
         if failed < summary.tries {
             self.fleet.last_success = now;
         }
@@ -451,11 +453,11 @@
     pub fn record_demand(&mut self, now: Time, report: &DemandReport) {
         self.begin_turn(now);
         let Some(proxy) = report.proxy.and_then(|proxy| self.proxies.get_mut(&proxy)) else { return };
-        let exchanges = report.exchanges;
         if let Some(demand) = proxy.demand.get_mut(usize::from(report.class.0)) {
-            demand.add(now, exchanges.into());
+            demand.add(now, report.exchanges.into());
         }
-        self.record_strain_exchanges(exchanges);
+        let period = self.settings.summary_period;
+        self.fleet.strain_evidence.record_exchanges(now, report.exchanges, period);
     }
 
     /// Evaluates the rules. The host calls it after all inputs of this time.
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -158,6 +158,7 @@
         self.update_joined_rates();
         if self.strain_is_unknown() {
             self.update_unknown_strain();
+            self.log_assumed_strain(orders);
         } else {
             self.update_strain(fleet.median_failed_share, all_time / fleet.target_time, orders);
         }
--- a/src/balance/levels.rs
+++ b/src/balance/levels.rs
@@ -38,8 +38,11 @@
     }
 
     /// Updates the capacity of the fleet, given the work a second that is wanted: raises it until the demand
-    /// fits, and cuts it while the fleet falls short.
+    /// fits, and cuts it while the fleet falls short. It stays as it is while nothing is heard of the fleet.
     fn update_capacity(&mut self, wanted: f64) {
+        if self.strain_is_unknown() && !self.proxies.is_empty() {
+            return;
+        }
         let (failed_share, mean_time) = self.fleet.tries.failure_share_and_mean_time(self.now);
         let keeps_up =
             failed_share <= SEVERE_FAILED_SHARE / 2.0 && mean_time <= SPARE_TIME_SHARE * self.mean_target();
--- a/src/balance/strain.rs
+++ b/src/balance/strain.rs
@@ -51,20 +51,54 @@
     }
 }
 
-/// What was reported since the strain was last confirmed.
+/// What was reported that shows the strain.
 #[derive(Clone, Copy, Default)]
 pub(super) struct StrainEvidence {
-    /// Tries that ended (count).
+    /// Tries reported since the strain was last confirmed (count).
     tries: u64,
-    /// Exchanges that came to the joined proxies (count).
-    exchanges: u64,
+    /// When exchanges of joined proxies were last reported.
+    exchanges_reported_at: Time,
+    /// Since when exchanges have been reported, one report soon after the other, with no try in between.
+    exchanges_without_tries_since: Option<Time>,
 }
 
 impl StrainEvidence {
+    /// Records that tries ended.
+    pub(super) fn record_tries(&mut self, tries: u32) {
+        self.tries = self.tries.saturating_add(tries.into());
+        if tries > 0 {
+            self.exchanges_without_tries_since = None;
+        }
+    }
+
+    /// Records that exchanges came to a joined proxy. Reports come at the interval `period`.
+    pub(super) fn record_exchanges(&mut self, now: Time, exchanges: u32, period: Time) {
+        if exchanges == 0 {
+            return;
+        }
+        if !self.has_exchanges(now, period) {
+            self.exchanges_without_tries_since = None;
+        }
+        self.exchanges_without_tries_since.get_or_insert(now);
+        self.exchanges_reported_at = now;
+    }
+
     /// Whether it can show that a strain is over. The absence of reports shows that only where the proxies have
     /// no exchanges: reports of tries may be lost, or late.
-    fn is_sufficient(&self) -> bool {
-        self.tries >= STRAIN_TRIES_MIN || self.exchanges == 0
+    fn is_sufficient(&self, now: Time, period: Time) -> bool {
+        self.tries >= STRAIN_TRIES_MIN || !self.has_exchanges(now, period)
+    }
+
+    /// Whether exchanges come to the joined proxies.
+    fn has_exchanges(&self, now: Time, period: Time) -> bool {
+        now < self.exchanges_reported_at + period + HOLD_TIME
+    }
+
+    /// Whether exchanges come to the joined proxies, but none of their tries was reported although reports have
+    /// had a time of `delay` to show them, and [`HOLD_TIME`] more: reports are missing, or all tries still run.
+    fn lacks_tries(&self, now: Time, period: Time, delay: Time) -> bool {
+        let is_overdue = |since: Time| now >= since + delay + HOLD_TIME;
+        self.has_exchanges(now, period) && self.exchanges_without_tries_since.is_some_and(is_overdue)
     }
 }
 
@@ -78,18 +112,6 @@
 }
 
 impl Balance {
-    /// Records that tries were reported, for the strain of the fleet.
-    pub(super) fn record_strain_tries(&mut self, tries: u32) {
-        let evidence = &mut self.fleet.strain_evidence;
-        evidence.tries = evidence.tries.saturating_add(tries.into());
-    }
-
-    /// Records that exchanges of joined proxies were reported, for the strain of the fleet.
-    pub(super) fn record_strain_exchanges(&mut self, exchanges: u32) {
-        let evidence = &mut self.fleet.strain_evidence;
-        evidence.exchanges = evidence.exchanges.saturating_add(exchanges.into());
-    }
-
     /// Counts a proxy that joins. Where that leaves the strain unknown, the fleet counts as severely strained, and
     /// its proxies as quick to avoid failing nodes, before this one is sent a table.
     pub(super) fn count_newcomer(&mut self, rate: f64) {
@@ -124,10 +146,18 @@
     }
 
     /// Whether nothing that was reported tells how the fleet copes with what the joined proxies bring: there are
-    /// none, or most of their exchanges are those of newcomers and hardly a try was reported lately.
+    /// none, their tries are no longer reported, or most of their exchanges are those of newcomers and hardly a
+    /// try was reported lately.
     pub(super) fn strain_is_unknown(&self) -> bool {
         let JoinedRates { newcomers, settled } = self.fleet.joined_rates;
-        self.proxies.is_empty() || newcomers > settled && self.recent_tries() < STRAIN_TRIES_MIN as f64
+        let is_unheard = newcomers > settled && self.recent_tries() < STRAIN_TRIES_MIN as f64;
+        self.proxies.is_empty() || is_unheard || self.tries_are_unreported()
+    }
+
+    /// Whether exchanges come to the joined proxies, but reports of their tries are missing.
+    fn tries_are_unreported(&self) -> bool {
+        let settings = &self.settings;
+        self.fleet.strain_evidence.lacks_tries(self.now, settings.summary_period, settings.feedback_delay())
     }
 
     /// Updates the strain where nothing was reported that tells it.
@@ -146,14 +176,28 @@
         }
         self.fleet.strain = Strain::Severe;
         self.confirm_strain();
+        self.fleet.assumed_strain_unlogged = true;
         self.recheck_table = true;
         self.table.flush_at_once = true;
     }
 
+    /// Logs that the fleet was taken to be severely strained, once each time.
+    pub(super) fn log_assumed_strain(&mut self, orders: &mut dyn Orders) {
+        if std::mem::take(&mut self.fleet.assumed_strain_unlogged) {
+            let tries = self.recent_tries();
+            let proxies = self.proxies.len();
+            let strain = Strain::Severe;
+            orders.log_note(
+                None,
+                &format!("fleet {strain}: {tries:.0} tries reported, {proxies} proxies joined"),
+            );
+        }
+    }
+
     /// Has the current strain last for at least [`HOLD_TIME`] from now on.
     fn confirm_strain(&mut self) {
         self.fleet.strain_last_confirmed_at = self.now;
-        self.fleet.strain_evidence = StrainEvidence::default();
+        self.fleet.strain_evidence.tries = 0;
     }
 
     /// Whether a smaller strain than the current one has lasted for [`HOLD_TIME`], was reported by enough tries,
@@ -162,7 +206,7 @@
         let fleet = &self.fleet;
         self.now >= fleet.strain_last_confirmed_at + HOLD_TIME
             && self.now >= fleet.strain_unknown_at + self.settings.feedback_delay()
-            && fleet.strain_evidence.is_sufficient()
+            && fleet.strain_evidence.is_sufficient(self.now, self.settings.summary_period)
     }
 
     /// Updates the strain of the fleet by the share of failed tries and the mean time as a share of the
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -158,6 +158,65 @@
     assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Once);
 }
 
+/// Collectors fall silent in a fleet that was well: after a while nothing shows any more that it still is.
+#[test]
+fn fleet_counts_as_strained_while_tries_are_no_longer_reported() {
+    let mut scenario = Scenario::new(|settings| settings.warm_up_time = ms(60_000));
+    scenario.run_seconds(10, healthy);
+    restart_two_nodes(&mut scenario);
+    for _ in 0..7 {
+        report_demand_alone(&mut scenario);
+        scenario.run_seconds(1, |_| None);
+    }
+    run_cautiously(&mut scenario, 20, report_demand_alone);
+    scenario.run_seconds(8, healthy);
+    assert!(COLD.iter().all(|k| scenario.weight(*k) > 0.0), "cold nodes have a share again");
+    assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Once);
+}
+
+/// What is admitted in an overload must be neither raised nor cut because nothing more is heard of it while exchanges
+/// still come.
+#[test]
+fn levels_stay_while_tries_are_no_longer_reported() {
+    let mut scenario = Scenario::new(|_| {});
+    scenario.run_seconds(20, overloaded);
+    // What was heard until now still counts for a while.
+    for _ in 0..12 {
+        report_demand_alone(&mut scenario);
+        scenario.run_seconds(1, |_| None);
+    }
+    let admitted = scenario.host.admitted_amounts.clone();
+    assert!(admitted.values().all(|amount| *amount < ADMIT_ALL), "{admitted:?}");
+    for _ in 0..40 {
+        report_demand_alone(&mut scenario);
+        scenario.run_seconds(1, |_| None);
+        for (classes, amount) in &scenario.host.admitted_amounts {
+            let change = (amount - admitted[classes]).abs();
+            assert!(change < 0.01 * admitted[classes], "{amount} after {admitted:?}");
+        }
+    }
+    scenario.run_seconds(60, healthy);
+    let admitted = &scenario.host.admitted_amounts;
+    assert!(admitted.values().all(|amount| *amount == ADMIT_ALL), "{admitted:?}");
+}
+
+/// A proxy that seldom has an exchange must not make its conductor cautious time and again, whether the exchange or
+/// its try is reported first.
+#[test]
+fn rare_exchanges_do_not_count_as_unreported() {
+    let mut scenario = Scenario::new(|_| {});
+    scenario.run_seconds(10, healthy);
+    for round in 0..8 {
+        let (before, after) = if round % 2 == 0 { (1, 0) } else { (0, 1) };
+        (0..before).for_each(|_| scenario.report_demand(0, 1, 0));
+        scenario.run_seconds(1, |_| None);
+        scenario.report_tries(0, tries(1, 0, 100).unwrap());
+        (0..after).for_each(|_| scenario.report_demand(0, 1, 0));
+        scenario.run_seconds(9, |_| None);
+        assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Once, "round {round}");
+    }
+}
+
 /// Caution must not last without a reason: proxies that join and have nothing to do are taken at their word.
 #[test]
 fn conductor_of_proxies_without_exchanges_allows_retries_after_a_while() {
