See an overload by all tries where no single node can be judged

What callers would see: a conductor with a small part of the proxies hears two tries a second of each node. Half of all tries fail, and it goes on to allow second tries, which feed the overload.

A strain that was assumed is logged even if tries are reported before the next check.

--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -156,9 +156,9 @@
         let (all_failed_share, all_time) = self.fleet.tries.failure_share_and_mean_time(self.now);
         self.update_load_shift(all_failed_share);
         self.update_joined_rates();
+        self.log_assumed_strain(orders);
         if self.strain_is_unknown() {
             self.update_unknown_strain();
-            self.log_assumed_strain(orders);
         } else {
             self.update_strain(fleet.median_failed_share, all_time / fleet.target_time, orders);
         }
@@ -183,9 +183,7 @@
         FleetHealth {
             now: self.now,
             better_failed_share: evidence.failed_share_quantile(HEALTHY_QUANTILE),
-            // The median of nodes is not raised by a few bad nodes with many tries. The share of all tries is
-            // not raised where only a few nodes are reported.
-            median_failed_share: evidence.failed_share_quantile(0.5).min(all_failed_share),
+            median_failed_share: self.median_failed_share(evidence, all_failed_share),
             median_time,
             // The median keeps a few overloaded nodes from preventing their own cut. It counts only where
             // most nodes are reported, as a few say nothing about the rest.
@@ -200,6 +198,16 @@
         }
     }
 
+    /// Returns the share of failed tries of the median node or of all tries, whichever is less: the median is not
+    /// raised by a few bad nodes with many tries, the share of all tries not where only a few nodes are reported.
+    /// Where no node has enough tries to be judged by, all together may have.
+    fn median_failed_share(&self, evidence: &Evidence, all_failed_share: f64) -> f64 {
+        if evidence.nodes() == 0 && self.has_enough_tries() {
+            return all_failed_share;
+        }
+        evidence.failed_share_quantile(0.5).min(all_failed_share)
+    }
+
     /// Updates whether proxies shift their load to the remaining nodes: each avoids a node after a number of
     /// its own tries there failed in a row, and these tries take time.
     fn update_load_shift(&mut self, all_failed_share: f64) {
--- a/src/balance/strain.rs
+++ b/src/balance/strain.rs
@@ -150,7 +150,7 @@
     /// try was reported lately.
     pub(super) fn strain_is_unknown(&self) -> bool {
         let JoinedRates { newcomers, settled } = self.fleet.joined_rates;
-        let is_unheard = newcomers > settled && self.recent_tries() < STRAIN_TRIES_MIN as f64;
+        let is_unheard = newcomers > settled && !self.has_enough_tries();
         self.proxies.is_empty() || is_unheard || self.tries_are_unreported()
     }
 
@@ -237,6 +237,11 @@
         }
     }
 
+    /// Whether enough tries were reported lately to judge the fleet as a whole by.
+    pub(super) fn has_enough_tries(&self) -> bool {
+        self.recent_tries() >= STRAIN_TRIES_MIN as f64
+    }
+
     /// Returns the tries reported lately, over about the time constant of a node's sums (count).
     pub(super) fn recent_tries(&self) -> f64 {
         self.fleet.tries.count.rate(self.now, self.settings.summary_period) * NODE_DECAY_MS as f64 / 1e3
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -200,6 +200,19 @@
     assert!(admitted.values().all(|amount| *amount == ADMIT_ALL), "{admitted:?}");
 }
 
+/// A conductor with a small part of the proxies hears so few tries of each node that it can judge none. All of them
+/// together show an overload.
+#[test]
+fn overload_shows_where_no_node_has_enough_tries_to_be_judged() {
+    let mut scenario = Scenario::new(|_| {});
+    scenario.run_seconds(10, |_| tries(2, 0, 100));
+    assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Once);
+    scenario.run_seconds(6, |_| tries(2, 1, 100));
+    assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Never);
+    scenario.run_seconds(10, |_| tries(2, 0, 100));
+    assert_eq!(scenario.host.retry_policies[&1], RetryPolicy::Once);
+}
+
 /// A proxy that seldom has an exchange must not make its conductor cautious time and again, whether the exchange or
 /// its try is reported first.
 #[test]
