Let back what another conductor's list had proxies shut out, once on each stream

What callers saw: a list drops live nodes at one conductor, which has its proxies shut them out and is restarted.

Cause: DesiredState::ejection_changes let back only nodes that this conductor had seen start anew, drain or go; proxies keep what is shut out over a change of streams (PROTOCOL), and lists differ between conductors.

Change: a proxy that comes from another conductor is let back one node of each table along with the table, which gives it a line at once, and all others once on the stream, when the module orders it: after withdrawals, with no bind urgent, within what flushes and binds may take of the channel. Both are counted in the channel.

--- a/crates/channel/src/core/tests/mod.rs
+++ b/crates/channel/src/core/tests/mod.rs
@@ -159,7 +159,7 @@
         for action in actions {
             match action {
                 PublisherAction::Join(conn, request) => {
-                    self.ordered.add_stream(request.proxy, conn, true);
+                    self.ordered.add_stream(request.proxy, conn, false, true);
                     self.unbound.push((request.proxy, conn));
                 }
                 PublisherAction::Leave(conn) => {
--- a/crates/conductor/benches/fanout.rs
+++ b/crates/conductor/benches/fanout.rs
@@ -59,7 +59,7 @@
         ordered.set_line(TableId(0), node, 1.0);
     }
     for k in 0..followers {
-        ordered.add_stream(ProxyId(k.into()), ConnectionId(k.into()), clears_ejections);
+        ordered.add_stream(ProxyId(k.into()), ConnectionId(k.into()), true, clears_ejections);
         ordered.bind_proxy(ProxyId(k.into()), TableId(0), ClassSet::default());
     }
     (ordered, names)
--- a/crates/state/src/desired_state.rs
+++ b/crates/state/src/desired_state.rs
@@ -24,6 +24,14 @@
 /// copy an entry for each node of the fleet.
 type EjectionsSent = Rc<RedBlackTreeMap<NodeId, bool>>;
 
+/// Nodes of each full table that are restored along with it at a proxy that may hold ejections of another conductor, so
+/// that it has a line at once (count).
+const RESTORED_WITH_TABLE: usize = 1;
+
+/// Nodes of a table among which those restored with it are chosen, in turn by proxy, so that not all proxies send to the
+/// same one (count).
+const RESTORE_CHOICES: usize = 8;
+
 /// The stream of a joined proxy: what it is bound to, and what it was sent.
 #[derive(Debug)]
 pub struct Stream {
@@ -31,6 +39,10 @@
     binding: Binding,
     /// Whether its first full table here clears the ejections that other conductors sent it.
     clears_ejections: bool,
+    /// Whether it may hold ejections of another conductor, which may have had another list.
+    may_hold_ejections: bool,
+    /// The binding at which all nodes of its tables were last restored, whatever other conductors had ejected.
+    restored_binding: Option<Binding>,
     ejections_sent: EjectionsSent,
     /// Index of the first of this turn's ejections that was ordered after the proxy joined.
     first_ejection: usize,
@@ -39,6 +51,11 @@
 }
 
 impl Stream {
+    /// Whether all nodes of a table were restored, whatever other conductors had ejected.
+    fn has_restored(&self, table: TableId) -> bool {
+        self.restored_binding.iter().flat_map(|binding| binding.iter()).any(|id| *id == Some(table))
+    }
+
     /// Adds a mark, and drops the oldest one if there are too many.
     fn add_pending_mark(&mut self, mark: u16, now: Time) {
         if self.pending_marks.len() >= limits::MAX_PENDING_MARKS {
@@ -72,6 +89,8 @@
     common_levels: BTreeSet<ClassId>,
     /// Classes that were bound to a table, by proxy.
     bound: BTreeMap<ProxyId, BTreeSet<ClassId>>,
+    /// Proxies at which all nodes of their tables are restored.
+    readmitted: BTreeSet<ProxyId>,
     mark: Option<RequestedMark>,
     /// Nodes that were withdrawn or whose withdrawal was ended, in order.
     ejections: Vec<NodeId>,
@@ -91,8 +110,20 @@
     listed: BTreeSet<NodeId>,
     /// Those of the listed nodes that are withdrawn.
     withdrawn: Vec<NodeId>,
-    /// Those of the listed nodes that another conductor may have ejected at the proxy.
+    /// Those of the listed nodes that another conductor may have ejected at the proxy, by what this one has seen.
     possibly_ejected: Vec<NodeId>,
+    /// Of each full table, the nodes with the greatest weights.
+    heaviest: BTreeMap<TableId, Vec<NodeId>>,
+}
+
+/// The nodes that a turn restores at a stream because another conductor may have ejected any of them.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Readmission {
+    None,
+    /// A few nodes of each full table, chosen by this number.
+    Few(usize),
+    /// All nodes of the stream's tables.
+    All,
 }
 
 /// Everything that decides what a turn sends to a stream.
@@ -103,6 +134,8 @@
     ejections_address: usize,
     clears_ejections: bool,
     first_ejection: usize,
+    readmission: Readmission,
+    restored_binding: Option<Binding>,
 }
 
 /// What a turn sends to streams with the same [`UpdateKey`], in addition to the shared parts.
@@ -196,24 +229,35 @@
         DesiredState { class_count, ..DesiredState::default() }
     }
 
-    /// Adds the stream of a proxy that has joined, in place of an earlier one. It is not bound to any table.
-    pub fn add_stream(&mut self, proxy: ProxyId, conn: ConnectionId, clears_ejections: bool) {
+    /// Adds the stream of a proxy that has joined, in place of an earlier one. It is not bound to any table. With
+    /// `only_standing_tables` it holds nothing of another conductor.
+    pub fn add_stream(
+        &mut self,
+        proxy: ProxyId,
+        conn: ConnectionId,
+        only_standing_tables: bool,
+        clears_ejections: bool,
+    ) {
         let stream = Stream {
             conn,
             binding: self.intern_binding(vec![None; self.class_count.into()]),
             clears_ejections,
+            may_hold_ejections: !only_standing_tables && !clears_ejections,
+            restored_binding: None,
             ejections_sent: self.no_ejections.clone(),
             first_ejection: self.turn.ejections.len(),
             pending_marks: BTreeMap::new(),
         };
         self.streams.insert(proxy, stream);
         self.turn.bound.remove(&proxy);
+        self.turn.readmitted.remove(&proxy);
     }
 
     /// Removes the stream of a proxy.
     pub fn remove_stream(&mut self, proxy: ProxyId) {
         self.streams.remove(&proxy);
         self.turn.bound.remove(&proxy);
+        self.turn.readmitted.remove(&proxy);
     }
 
     /// Returns the mark that a proxy acknowledges. Returns none if the mark is not pending on the proxy's stream, or was
@@ -321,12 +365,17 @@
                 ejections_address: Rc::as_ptr(&stream.ejections_sent) as usize,
                 clears_ejections: stream.clears_ejections,
                 first_ejection: std::mem::take(&mut stream.first_ejection),
+                readmission: readmission(&turn, *proxy, stream),
+                restored_binding: stream.restored_binding.clone(),
             };
             let update = updates
                 .entry(update_key)
                 .or_insert_with_key(|key| self.stream_update(&turn, stream, key, shared, names, &mut groups));
             debug_assert_eq!(stream.ejections_sent, update.before);
             stream.ejections_sent = update.after.clone();
+            if turn.readmitted.contains(proxy) {
+                stream.restored_binding = Some(stream.binding.clone());
+            }
             let mark = turn.mark.filter(|mark| mark.everyone || update.affected);
             if let Some(mark) = mark {
                 stream.add_pending_mark(mark.number, now);
@@ -358,7 +407,9 @@
         groups: &mut MessageGroups<'a>,
     ) -> StreamUpdate {
         let ejections = turn.ejections.get(key.first_ejection..).unwrap_or_default();
-        let EjectionChanges { eject, restore, after } = self.ejection_changes(stream, ejections, shared);
+        let EjectionChanges { eject, mut restore, after } = self.ejection_changes(stream, ejections, shared);
+        let readmitted = self.readmitted_nodes(stream, key.readmission, shared);
+        restore.extend(readmitted.into_iter().filter(|node| !after.contains_key(node)));
         let has_named_node = eject.iter().chain(&restore).any(|node| names.name(*node).is_some());
         let affected = !shared.parts.is_empty() || has_named_node;
         let group = groups.index(MessageKey { parts_key: key.parts_key.clone(), eject, restore });
@@ -402,8 +453,12 @@
         let empty_table = Table::default();
         let mut parts = Vec::new();
         let mut listed: BTreeSet<NodeId> = BTreeSet::new();
+        let mut heaviest = BTreeMap::new();
         for ((id, full), classes) in &self.classes_by_table(turn, key) {
             let table = self.tables.get(id).unwrap_or(&empty_table);
+            if *full {
+                heaviest.insert(*id, self.heaviest_nodes(table));
+            }
             let lines = changed_lines(turn, table, *id, *full);
             listed.extend(lines.iter().filter(|(_, weight)| *weight > 0.0).map(|(node, _)| *node));
             let lines = with_names(&lines, names, counters);
@@ -423,7 +478,50 @@
         let listed_among = |nodes: &BTreeSet<NodeId>| listed.intersection(nodes).copied().collect();
         let withdrawn = listed_among(&self.withdrawn);
         let possibly_ejected = listed_among(&self.possibly_ejected);
-        SharedParts { parts, listed, withdrawn, possibly_ejected }
+        SharedParts { parts, listed, withdrawn, possibly_ejected, heaviest }
+    }
+
+    /// Returns the nodes of a table with the greatest weights that are not withdrawn.
+    fn heaviest_nodes(&self, table: &Table) -> Vec<NodeId> {
+        let usable = table.lines.iter().filter(|(node, _)| !self.withdrawn.contains(node));
+        let mut lines: Vec<(NodeId, f32)> = usable.map(|(node, weight)| (*node, *weight)).collect();
+        lines.sort_by(|a, b| b.1.total_cmp(&a.1));
+        lines.truncate(RESTORE_CHOICES);
+        lines.into_iter().map(|(node, _)| node).collect()
+    }
+
+    /// Returns the nodes that a turn restores at a stream whatever other conductors ejected there.
+    fn readmitted_nodes(
+        &self,
+        stream: &Stream,
+        readmission: Readmission,
+        shared: &SharedParts,
+    ) -> BTreeSet<NodeId> {
+        match readmission {
+            Readmission::None => BTreeSet::new(),
+            Readmission::Few(number) => {
+                let unrestored = shared.heaviest.iter().filter(|(id, _)| !stream.has_restored(**id));
+                let chosen = unrestored.flat_map(|(_, nodes)| {
+                    let first = number % nodes.len().max(1);
+                    nodes.iter().cycle().skip(first).take(RESTORED_WITH_TABLE.min(nodes.len()))
+                });
+                chosen.copied().collect()
+            }
+            Readmission::All => self.unrestored_nodes(stream),
+        }
+    }
+
+    /// Returns the nodes of a stream's tables that may be ejected there by another conductor for all that was sent on
+    /// the stream.
+    fn unrestored_nodes(&self, stream: &Stream) -> BTreeSet<NodeId> {
+        if !stream.may_hold_ejections {
+            return BTreeSet::new();
+        }
+        let tables = stream.binding.iter().flatten().filter(|id| !stream.has_restored(**id));
+        let lines = tables.filter_map(|id| self.tables.get(id)).flat_map(|table| table.lines.keys());
+        let unknown = lines
+            .filter(|node| !self.withdrawn.contains(*node) && !stream.ejections_sent.contains_key(*node));
+        unknown.copied().collect()
     }
 
     /// Returns the classes of a binding by their table, and by whether the table is to be sent in full.
@@ -510,6 +608,19 @@
     }
 }
 
+/// Returns what a turn restores at a proxy's stream because another conductor may have ejected it.
+fn readmission(turn: &TurnChanges, proxy: ProxyId, stream: &Stream) -> Readmission {
+    if !stream.may_hold_ejections {
+        Readmission::None
+    } else if turn.readmitted.contains(&proxy) {
+        Readmission::All
+    } else if turn.bound.contains_key(&proxy) {
+        Readmission::Few(proxy.0 as usize % RESTORE_CHOICES)
+    } else {
+        Readmission::None
+    }
+}
+
 /// Returns the lines of a table that are to be sent: all of them, or those that changed, with weight 0 if removed.
 fn changed_lines(turn: &TurnChanges, table: &Table, id: TableId, full: bool) -> Vec<(NodeId, f32)> {
     if full {
@@ -583,6 +694,18 @@
         self.possibly_ejected.len()
     }
 
+    fn readmissions_with_table(&self) -> usize {
+        RESTORED_WITH_TABLE
+    }
+
+    fn readmission_lines(&self, proxy: ProxyId) -> usize {
+        self.streams.get(&proxy).map_or(0, |stream| self.unrestored_nodes(stream).len())
+    }
+
+    fn readmit_all(&mut self, proxy: ProxyId) {
+        self.turn.readmitted.insert(proxy);
+    }
+
     fn set_withdrawn(&mut self, node: NodeId, withdrawn: bool) {
         if withdrawn {
             self.withdrawn.insert(node);
--- a/crates/state/src/reducer/connections.rs
+++ b/crates/state/src/reducer/connections.rs
@@ -127,7 +127,7 @@
                 Role::Unidentified,
             ) => {
                 if self.claim_stream(conn, proxy) {
-                    self.join(conn, proxy, clears_ejections, tags);
+                    self.join(conn, proxy, only_standing_tables, clears_ejections, tags);
                     self.balance.proxy_joined(
                         self.now,
                         proxy,
@@ -229,11 +229,12 @@
         &mut self,
         conn: ConnectionId,
         proxy: ProxyId,
+        only_standing_tables: bool,
         clears_ejections: bool,
         tags: BTreeMap<String, String>,
     ) {
         self.identify(conn, Role::Proxy(proxy));
-        self.desired_state.add_stream(proxy, conn, clears_ejections);
+        self.desired_state.add_stream(proxy, conn, only_standing_tables, clears_ejections);
         if !tags.is_empty() {
             self.proxy_tags.insert(proxy, tags);
         }
--- a/crates/state/src/tests/mod.rs
+++ b/crates/state/src/tests/mod.rs
@@ -9,4 +9,5 @@
 mod membership;
 mod model_proxy;
 mod orders;
+mod readmission;
 mod too_long;
--- a/crates/state/src/tests/orders.rs
+++ b/crates/state/src/tests/orders.rs
@@ -54,7 +54,7 @@
             let meant = |class: usize| named.is_empty() || named.contains(&ClassId(class as u16));
             match what % 8 {
                 0 => {
-                    ordered.add_stream(ProxyId(proxy.into()), ConnectionId(k as u64), false);
+                    ordered.add_stream(ProxyId(proxy.into()), ConnectionId(k as u64), false, false);
                     // It keeps the ejections of another conductor.
                     let out = nodes[..3].iter().filter(|node| how & (1 << node.0[3]) != 0);
                     let plain =
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,6 +27,7 @@
 mod herding;
 mod levels;
 mod limits;
+mod readmissions;
 mod roster;
 mod snapshot;
 mod strain;
@@ -159,6 +160,8 @@
     joined_at: Time,
     /// Whether it holds only its standing tables, none of a conductor.
     only_standing_tables: bool,
+    /// Whether another conductor may have excluded nodes there, whose exclusion it keeps.
+    may_exclude_nodes: bool,
     bound: bool,
     /// Whether it holds a table of this conductor, which is updated even while it waits to be bound to
     /// another.
@@ -296,6 +299,8 @@
     /// standing tables, the tables that a proxy has before any conductor serves it, come first; then the
     /// order is that of joining.
     unbound: BTreeSet<Unbound>,
+    /// Bound proxies at which nodes that another conductor may have excluded wait to be readmitted.
+    awaiting_readmission: BTreeSet<ProxyId>,
     channel: Channel,
     fleet: Fleet,
     advice: Advice,
@@ -311,7 +316,7 @@
 type Rule = fn(&mut Balance, &mut dyn Orders) -> bool;
 
 /// The rules, in the order in which they are evaluated.
-const RULES: [Rule; 10] = [
+const RULES: [Rule; 11] = [
     Balance::request_roster,
     Balance::withdraw_unavailable,
     Balance::check_health,
@@ -320,6 +325,7 @@
     Balance::gather_changes,
     Balance::flush,
     Balance::bind_waiting,
+    Balance::readmit_nodes,
     Balance::request_acknowledgement,
     Balance::schedule_wake,
 ];
@@ -339,6 +345,7 @@
             recheck_table: true,
             proxies: BTreeMap::new(),
             unbound: BTreeSet::new(),
+            awaiting_readmission: BTreeSet::new(),
             channel: Channel::new(&settings, seed),
             fleet: Fleet::new(now, settings.class_terms.len()),
             advice: Advice::default(),
@@ -416,6 +423,7 @@
             part: 0,
             joined_at: now,
             only_standing_tables,
+            may_exclude_nodes: !only_standing_tables,
             bound: false,
             has_table: false,
             demand: vec![DecayingSum::default(); self.settings.class_terms.len()],
@@ -464,6 +472,7 @@
     pub fn run_rules(&mut self, now: Time, orders: &mut dyn Orders) {
         self.begin_turn(now);
         self.channel.possible_readmissions = orders.possible_readmissions();
+        self.channel.readmissions_with_table = orders.readmissions_with_table();
         // Services with slices are not balanced: their tables stay as the store has them.
         if self.settings.slice_count == 0 {
             // After a rule has fired, the evaluation restarts at the first one, until none fires.
@@ -491,6 +500,7 @@
     fn remove_proxy(&mut self, proxy: ProxyId) {
         if let Some(removed) = self.proxies.remove(&proxy) {
             self.unbound.remove(&removed.queue_entry(proxy));
+            self.awaiting_readmission.remove(&proxy);
             self.count_leaver(removed.joined_at, removed.rate);
         }
     }
--- a/src/balance/bindings.rs
+++ b/src/balance/bindings.rs
@@ -190,6 +190,9 @@
         proxy.bound = true;
         proxy.has_table = true;
         proxy.part = part;
+        if proxy.may_exclude_nodes {
+            self.awaiting_readmission.insert(id);
+        }
         if let Some(load) = loads.get_mut(&part) {
             load.add_proxy(proxy);
         }
--- a/src/balance/channel.rs
+++ b/src/balance/channel.rs
@@ -17,6 +17,8 @@
     pub overdue_lines: f64,
     /// Nodes that the host may have to readmit with a whole table, each by a line of its own (count).
     pub possible_readmissions: usize,
+    /// Nodes of each table that the host readmits with it (count).
+    pub readmissions_with_table: usize,
     /// Proxies to which this turn writes.
     pub written: BTreeSet<ProxyId>,
     /// When a node was last withdrawn.
@@ -197,7 +199,8 @@
         let possible_readmissions =
             (self.channel.possible_readmissions as f64 * share).min(part as f64) as usize;
         let own_zone_bind = usize::from(own_zone_table > 0);
-        let lines = part + possible_readmissions + own_zone_table + own_zone_bind + 2;
+        let first_readmissions = self.channel.readmissions_with_table * (1 + own_zone_bind);
+        let lines = part + possible_readmissions + first_readmissions + own_zone_table + own_zone_bind + 2;
         (lines + self.settings.class_terms.len()) as f64 + self.settings.message_overhead_lines
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -369,6 +369,17 @@
     fn possible_readmissions(&self) -> usize {
         0
     }
+    /// Returns the number of nodes of each table that the host readmits along with it at a proxy where another
+    /// conductor may have excluded any of them. Each costs one line.
+    fn readmissions_with_table(&self) -> usize {
+        0
+    }
+    /// Returns the number of nodes in a bound proxy's tables that another conductor may have excluded there.
+    fn readmission_lines(&self, _proxy: ProxyId) -> usize {
+        0
+    }
+    /// Readmits all of these nodes at a bound proxy. Each costs one line.
+    fn readmit_all(&mut self, _proxy: ProxyId) {}
     /// Excludes a node at all joined proxies, whatever their tables contain, or readmits it.
     fn set_withdrawn(&mut self, node: NodeId, withdrawn: bool);
     /// Ends a node's withdrawal and drops what is stored about it. No table contains it any more. If it is
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -72,6 +72,7 @@
         settings.max_time_without_line = settings.stop_sending_within + settings.stop_sending_within;
         let mut host = FakeHost::default();
         host.now = ms(600_000);
+        host.readmissions_with_table = 1;
         host.known_nodes.extend((0..2_000).map(id));
         let balance = Balance::start(host.now, settings.clone(), 11, &mut host);
         let node_count = 8 + nodes as u16 % 120;
@@ -108,6 +109,11 @@
         let proxy = ProxyId(proxy.into());
         self.host.joined_at.insert(proxy, now);
         self.host.bound_proxies.remove(&proxy);
+        if fresh {
+            self.host.unreadmitted.remove(&proxy);
+        } else {
+            self.host.unreadmitted.insert(proxy);
+        }
         self.balance.proxy_joined(now, proxy, zone, 1.0, fresh);
     }
 
@@ -115,6 +121,7 @@
         let proxy = ProxyId(proxy.into());
         self.host.joined_at.remove(&proxy);
         self.host.bound_proxies.remove(&proxy);
+        self.host.unreadmitted.remove(&proxy);
         self.balance.proxy_left(self.host.now, proxy);
     }
 
@@ -239,6 +246,11 @@
         let any_ready = self.started.keys().any(|k| !self.draining.contains(k));
         for proxy in self.host.joined_at.keys().filter(|_| any_ready) {
             assert!(self.host.bound_proxies.contains(proxy), "rules 1 and 3: {proxy:?} is not bound");
+            // The host readmits nodes that restart with their line, whatever was readmitted before.
+            let may_be_excluded =
+                |k: &u16| self.started[k].is_none() && self.host.may_exclude(*proxy, id(*k));
+            let excluded: Vec<u16> = self.started.keys().copied().filter(may_be_excluded).collect();
+            assert!(excluded.is_empty(), "rule 1: {excluded:?} may still be excluded at {proxy:?}");
         }
     }
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -131,6 +131,10 @@
     pub part_count: u16,
     /// The table that each proxy was last bound to.
     table_by_proxy: BTreeMap<ProxyId, TableId>,
+    /// Nodes that are readmitted with each table at the proxies in [`FakeHost::unreadmitted`] (count).
+    pub readmissions_with_table: usize,
+    /// Proxies at which another conductor may have excluded nodes that were not readmitted yet.
+    pub unreadmitted: BTreeSet<ProxyId>,
 }
 
 /// A message that enters the channel later.
@@ -190,6 +194,23 @@
         }
     }
 
+    /// Whether a proxy's table has a line for a node that another conductor may have excluded there.
+    pub fn may_exclude(&self, proxy: ProxyId, node: NodeId) -> bool {
+        let table = self.table_by_proxy.get(&proxy).filter(|_| self.unreadmitted.contains(&proxy));
+        table.is_some_and(|table| match table {
+            TableId(0) => self.shared_table.contains_key(&node),
+            table => self.other_tables.contains(&(*table, node)),
+        })
+    }
+
+    /// Returns the number of lines in a table.
+    fn line_count(&self, table: TableId) -> usize {
+        if table == TableId(0) {
+            return self.shared_table.len();
+        }
+        self.other_tables.iter().filter(|line| line.0 == table).count()
+    }
+
     /// Ends a turn: its lines enter the channel as one message per proxy, after `entry_delay`.
     pub fn close_turn(&mut self, settings: &ServiceSettings) {
         let now = self.now;
@@ -298,7 +319,24 @@
         let nodes: Vec<&NodeId> =
             if table == TableId(0) { self.shared_table.keys().collect() } else { other_nodes.collect() };
         let withdrawn = nodes.iter().filter(|node| self.withdrawn.contains(**node)).count();
-        let lines = 1 + nodes.len() + self.retry_policies.len() + withdrawn;
+        let readmitted = if self.unreadmitted.contains(&proxy) { self.readmissions_with_table } else { 0 };
+        let lines = 1 + nodes.len() + self.retry_policies.len() + withdrawn + readmitted;
+        *self.turn_lines.entry(proxy).or_default() += lines as f64;
+    }
+
+    fn readmissions_with_table(&self) -> usize {
+        self.readmissions_with_table
+    }
+
+    fn readmission_lines(&self, proxy: ProxyId) -> usize {
+        let table = self.table_by_proxy.get(&proxy).filter(|_| self.unreadmitted.contains(&proxy));
+        table.map_or(0, |table| self.line_count(*table))
+    }
+
+    fn readmit_all(&mut self, proxy: ProxyId) {
+        assert!(self.bound_proxies.contains(&proxy), "readmitted nodes at a proxy that is not bound");
+        let lines = self.readmission_lines(proxy);
+        assert!(self.unreadmitted.remove(&proxy), "readmitted nodes twice");
         *self.turn_lines.entry(proxy).or_default() += lines as f64;
     }
 
