A node that is warm by the settings has a line in an overload before its ramp ends

Cause: while the fleet is short, a node that ramps has no line beside warm ones; that ended with the last step of the ramp, and steps of 1.8 s are looked for every 0.5 s, each counted from the look that took the last one: 20 s in place of 18 s, from the listing on. WIRE, rule 1 counts nodes "that started at least guarantees.warm_up_us ago".

Change: from that age on the node has a line, at the weight that its ramp has reached. Why this works: rule 4 no longer concerns it, as it is warm "after this at the latest", and rule 1 does.

Test: node_that_is_warm_by_the_settings_has_a_line_in_an_overload failed before (no line 1 s after the warm-up time); it also states that there is none at 18 s less some (rule 4).

--- a/src/balance/weights.rs
+++ b/src/balance/weights.rs
@@ -30,8 +30,9 @@
     /// Whether own-zone classes may use a node. Only warm nodes qualify: a cold one might get all exchanges
     /// of its zone, and the guarantee that no proxy is without a line counts warm nodes only.
     pub(super) fn may_serve_own_zone(&self, node: &Node) -> bool {
-        let warmed_up = node.started.is_none_or(|at| self.now >= at + self.settings.warm_up_time);
-        self.table.own_zone_groups > 0 && node.unavailable_since.is_none() && warmed_up
+        self.table.own_zone_groups > 0
+            && node.unavailable_since.is_none()
+            && node.is_warm_by_age(self.now, &self.settings)
     }
 
     /// Returns the share of its weight at which a node stands in the views of other zones.
@@ -67,7 +68,9 @@
     fn cold_share(&self, node: &Node, around: &Surroundings) -> Option<f64> {
         let capacity_share = self.settings.cold_capacity_share
             + (1.0 - self.settings.cold_capacity_share) * node.warm_up_progress();
-        if self.shifted_load_may_overload_cold(capacity_share, around) {
+        // A node that is warm by the settings must have a line, even while its ramp still has steps left.
+        let is_warm_by_age = node.is_warm_by_age(self.now, &self.settings);
+        if !is_warm_by_age && self.shifted_load_may_overload_cold(capacity_share, around) {
             return None;
         }
         let mut share = node.warm_up_share();
@@ -103,6 +106,11 @@
 }
 
 impl Node {
+    /// Whether it started so long ago that it is warm by the settings. Its ramp may lag behind that.
+    fn is_warm_by_age(&self, now: Time, settings: &ServiceSettings) -> bool {
+        self.started.is_none_or(|at| now >= at + settings.warm_up_time)
+    }
+
     /// Returns how much of its warm-up is done, from 0 to 1.
     pub(super) fn warm_up_progress(&self) -> f64 {
         f64::from(self.warm_up_step) / f64::from(WARM_UP_STEPS)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -110,6 +110,23 @@
     }
 }
 
+/// Review case 3: the steps of a node's ramp lag behind its age, and until the last one it had no line in an overload.
+/// A zone that was back stayed without a line for the classes that keep to it for 4 s after its nodes were warm.
+#[test]
+fn node_that_is_warm_by_the_settings_has_a_line_in_an_overload() {
+    let mut scenario = Scenario::new(|settings| settings.warm_up_time = ms(18_000));
+    scenario.run_seconds(10, overloaded);
+    scenario.change_status([4], NodeStatus::Gone, None);
+    scenario.run_seconds(8, overloaded);
+    let started = scenario.host.now;
+    scenario.run_seconds(2, overloaded);
+    scenario.change_status([4], NodeStatus::Ready, Some(started));
+    scenario.run_seconds(16, overloaded);
+    assert_eq!(scenario.weight(4), 0.0, "cold until now");
+    scenario.run_seconds(1, overloaded);
+    assert!(scenario.weight(4) > 0.0, "warm for 1 s");
+}
+
 /// Guards against cold nodes left idle while half of the fleet restarts within an overload. Where each proxy sends
 /// so little that it takes minutes to avoid a failing node, proxies do not overload the cold nodes, and without
 /// these the rest is overloaded. Seen on sockets: 15 of 30 nodes idle for 15 s beside others with a queue of ten.
