A stop signal while peer_listen is held ends the conductor

Cause: Sockets::open took the None of open_with_retry, which means that the conductor is stopped, for "no peer address".

Change: it gives up the start, as it does for `listen`. The same call for `listen` did so already; there is no third.

Test: a_stop_while_a_predecessor_holds_the_peer_address in crates/conductor/tests/crossings.rs failed before ("it does not exit", 20 s) and passes now.

--- a/crates/conductor/src/run/serve/start.rs
+++ b/crates/conductor/src/run/serve/start.rs
@@ -52,14 +52,14 @@
         else {
             return Ok(None);
         };
-        let datagrams = match configuration.peers.listen {
-            Some(address) => {
-                open_with_retry(log, signals, "peer_listen", address, async || UdpSocket::bind(address).await)
-                    .await?
-            }
-            None => None,
+        let Some(address) = configuration.peers.listen else {
+            return Ok(Some(Sockets { listener, datagrams: None }));
         };
-        Ok(Some(Sockets { listener, datagrams: datagrams.map(Rc::new) }))
+        let open = async || UdpSocket::bind(address).await;
+        let Some(datagrams) = open_with_retry(log, signals, "peer_listen", address, open).await? else {
+            return Ok(None);
+        };
+        Ok(Some(Sockets { listener, datagrams: Some(Rc::new(datagrams)) }))
     }
 }
 
--- a/crates/conductor/tests/crossings.rs
+++ b/crates/conductor/tests/crossings.rs
@@ -4,7 +4,7 @@
 //! `docs/crossings.md` lists them.
 
 use std::io::{BufRead, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::process::{Command, Stdio};
 use std::sync::mpsc::channel;
 use std::thread;
@@ -221,6 +221,19 @@
     }
 }
 
+/// A stop signal that came while `peer_listen` waited for a predecessor was taken for the end of that wait alone: the
+/// conductor went on to start, and a second signal was needed.
+#[test]
+fn a_stop_while_a_predecessor_holds_the_peer_address() {
+    let (address, _answers, _paths) = start_discovery();
+    let predecessor = UdpSocket::bind("127.0.0.1:0").expect("a free address");
+    let mut config = config(address);
+    config["peer_listen"] = predecessor.local_addr().expect("bound").to_string().into();
+    let mut conductor = Conductor::start("peer-address-held", &config);
+    conductor.wait_for_log("is in use by another process");
+    conductor.stop();
+}
+
 /// Guards against a start or exit delayed by one thread that waits for another.
 #[test]
 fn a_conductor_is_one_thread() {
