--- a/src/balance/readmissions.rs
+++ b/src/balance/readmissions.rs
@@ -4,12 +4,13 @@
 
 impl Balance {
     /// Readmits all nodes of their tables at bound proxies that may exclude some of them by the order of another
-    /// conductor, which may have had another roster. Withdrawals and bindings go first, and it takes only what
-    /// flushes and bindings may use of the channel: some nodes of each table were readmitted with it.
+    /// conductor, which may have had another roster. Some nodes of each table were readmitted with it, so that
+    /// withdrawals, changes and bindings go first, and it takes only what these may use of the channel.
     pub(super) fn readmit_nodes(&mut self, orders: &mut dyn Orders) -> bool {
         if self.awaiting_readmission.is_empty()
             || self.binds_are_urgent()
             || !self.index.to_withdraw().is_empty()
+            || self.table.pending_since.is_some()
         {
             return false;
         }
