review: case 9, a conductor started with an emptied list leaves dispatchers as they are

The entry of KNOWN-RED.txt, shown with a new test: a conductor that starts with an emptied list binds nobody, and dispatchers that join it go on sending to nodes that are gone by its list.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -190,6 +190,8 @@
 struct List {
     version: u64,
     nodes: BTreeMap<String, Node>,
+    /// Watches that are behind this version are sent the whole list.
+    whole_from: u64,
 }
 
 /// A discovery server by the protocol page: the whole list, and watches with an empty line every 2 s.
@@ -204,7 +206,7 @@
     pub fn start(nodes: &[(String, String, u64)]) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let mut list = List { version: 1, nodes: BTreeMap::new() };
+        let mut list = List { version: 1, ..List::default() };
         for (name, zone, boot_ms) in nodes {
             let node = Node { zone: zone.clone(), state: "active", boot_ms: *boot_ms, version: 1 };
             list.nodes.insert(name.clone(), node);
@@ -235,6 +237,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Empties the list: watches are told by a whole list without nodes.
+    pub fn empty(&self) {
+        let mut list = self.shared.0.lock().unwrap();
+        list.version += 1;
+        list.whole_from = list.version;
+        list.nodes.clear();
+        self.shared.1.notify_all();
+    }
+
     /// Adds a node that has just started.
     pub fn add(&self, name: &str, zone: &str, boot_ms: u64) {
         let mut list = self.shared.0.lock().unwrap();
@@ -277,7 +288,8 @@
                 list = changed.wait_timeout(list, Duration::from_secs(2)).unwrap().0;
             }
             let text = if list.version > since {
-                let text = document(&list, (!whole).then_some(since));
+                let is_whole = whole || since < list.whole_from;
+                let text = document(&list, (!is_whole).then_some(since));
                 since = list.version;
                 whole = false;
                 text
