Ask the roster again after a failed request, whatever arrives meanwhile

The conductor never asks again, and 47.6 s later 8 of 8 front ends pick nodes that have left.

Cause: the time of the next request was one value, written by requests, by failures and by any entries of the roster. After a failure the reducer leaves the next request to the module; a change on the watch at the former address then cleared the time, and nothing was open, wanted or due.

Evidence: in the reducer alone the watch is opened again without that change, also where the former watch ends or discovery moves. A full list that is fetched beside a failed watch does the same without a move.

Change: the requests are a type with three states (followed, awaiting an answer, due). Entries answer only a request that awaits its answer; one that is due is made. Why it works: the reducer drops a watch only with a failure, which makes a request due, and nothing but making it ends that.

--- a/crates/state/src/tests/discovery.rs
+++ b/crates/state/src/tests/discovery.rs
@@ -233,3 +233,32 @@
     harness.pass(5_000);
     assert_eq!(harness.watches().last(), Some(&(2, 5)));
 }
+
+/// Guards against a watch that is lost for good while discovery moves: a change on the watch at the former address ended
+/// the requests for the list, although the watch at the new address had failed.
+#[test]
+fn changes_at_the_former_address_do_not_end_the_requests_at_the_new_one() {
+    let mut harness = Harness::new(true);
+    harness.turn(1, [Input::WatchOpened(1), Input::MembershipUpdate(1, list(6, false, &[3]))]);
+    harness.turn(1, [Input::ConfigReloaded(Ok((address(2), vec![])))]);
+    assert_eq!(harness.watches(), [(1, 5), (2, 6)]);
+    harness.turn(1, [Input::DiscoveryRequestEnded(2, "silent".into())]);
+    harness.turn(1, [Input::MembershipUpdate(1, list(7, false, &[4]))]);
+    harness.turn(1, [Input::DiscoveryRequestEnded(1, "closed".into())]);
+    harness.pass(5_000);
+    assert_eq!(harness.watches().last(), Some(&(3, 7)));
+}
+
+/// Guards against a watch that is lost for good because a full list, fetched to confirm an older one, arrives after the
+/// watch has failed and before it is opened again.
+#[test]
+fn a_list_fetched_beside_a_failed_watch_does_not_end_the_requests() {
+    let mut harness = Harness::new(true);
+    harness.turn(1, [Input::WatchOpened(1), Input::MembershipUpdate(1, list(4, true, &[0, 1, 2]))]);
+    harness.turn(limits::MAX_PROPAGATION_DELAY.0 / 10 - 1, [Input::DiscoveryRequestEnded(1, "reset".into())]);
+    harness.turn(1, []);
+    assert_eq!((harness.fetches(), harness.watches().len()), (vec![2], 1));
+    harness.turn(1, [Input::MembershipUpdate(2, list(4, true, &[0, 1, 2]))]);
+    harness.pass(5_000);
+    assert_eq!(harness.watches().last(), Some(&(3, 4)));
+}
--- a/crates/state/src/tests/mod.rs
+++ b/crates/state/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod datagrams;
 mod discovery;
+mod discovery_liveness;
 mod generated;
 mod harness;
 mod membership;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,6 +29,7 @@
 mod limits;
 mod readmissions;
 mod roster;
+mod roster_requests;
 mod snapshot;
 mod strain;
 mod table;
@@ -39,6 +40,7 @@
 use evidence::{Evidence, Symptoms};
 use flush::BoundProxy;
 use herding::{LoadShift, Surroundings};
+use roster_requests::RosterRequests;
 use strain::{JoinedRates, Strain, StrainEvidence};
 use table::OwnZoneTable;
 
@@ -54,13 +56,6 @@
 /// Time after which other nodes are assumed to do the work of one that is gone.
 const REPLACEMENT_TIME: Time = Time::from_ms(30_000);
 
-/// Delay before a failed roster request is repeated; it doubles with each failure, up to
-/// [`ROSTER_RETRY_DOUBLINGS`] times.
-const ROSTER_RETRY_DELAY: Time = Time::from_ms(250);
-
-/// Maximum doublings of [`ROSTER_RETRY_DELAY`] (count).
-const ROSTER_RETRY_DOUBLINGS: u32 = 4;
-
 /// Smallest assumed rate of a proxy, in exchanges a second.
 const PROXY_RATE_MIN: f64 = 0.1;
 
@@ -304,10 +299,7 @@
     channel: Channel,
     fleet: Fleet,
     advice: Advice,
-    /// When the roster must be requested again, if it must.
-    roster_due: Option<Time>,
-    /// Roster requests that failed in a row (count).
-    roster_failures: u32,
+    roster_requests: RosterRequests,
     /// When the host was asked to wake the conductor.
     wake_at: Time,
 }
@@ -349,8 +341,7 @@
             channel: Channel::new(&settings, seed),
             fleet: Fleet::new(now, settings.class_terms.len()),
             advice: Advice::default(),
-            roster_due: settings.roster_on_request.then_some(now),
-            roster_failures: 0,
+            roster_requests: RosterRequests::new(settings.roster_on_request, now),
             wake_at: now,
             settings,
         };
@@ -374,7 +365,7 @@
             self.apply_roster_entry(entry);
         }
         if !cached {
-            self.roster_answered();
+            self.roster_requests.answered();
         }
         self.finish_roster_update(orders);
     }
@@ -387,23 +378,20 @@
         for entry in entries {
             self.apply_roster_entry(entry);
         }
-        self.roster_answered();
+        self.roster_requests.answered();
         self.finish_roster_update(orders);
     }
 
-    /// Handles a failed roster request: it is repeated after a random delay that doubles with each failure.
+    /// Handles a roster request that failed, or whose subscription has ended. It is repeated after a random delay that
+    /// doubles with each failure, whatever is received from elsewhere meanwhile.
     pub fn roster_failed(&mut self, now: Time) {
         self.begin_turn(now);
         if !self.settings.roster_on_request {
             return;
         }
-        let doublings = self.roster_failures.min(ROSTER_RETRY_DOUBLINGS);
-        let delay = ROSTER_RETRY_DELAY.seconds() * f64::from(1u32 << doublings);
-        let delay_max = self.settings.max_roster_age.seconds() / 4.0;
+        let delay_max = Time::from_seconds(self.settings.max_roster_age.seconds() / 4.0);
         let jitter = 0.5 + self.random.next_f64();
-        let delay = delay.min(delay_max) * jitter;
-        self.roster_failures = self.roster_failures.saturating_add(1);
-        self.roster_due = Some(now + Time::from_seconds(delay));
+        self.roster_requests.failed(now, delay_max, jitter);
     }
 
     /// Adds a proxy that joined. With `only_standing_tables` it holds no table of any conductor.
--- a/src/balance/roster.rs
+++ b/src/balance/roster.rs
@@ -5,9 +5,6 @@
 /// Time after which a node that is gone is forgotten.
 const GONE_NODE_RETENTION: Time = Time::from_ms(600_000);
 
-/// Time to wait for an answer of the roster before asking again.
-const ROSTER_TIMEOUT: Time = Time::from_ms(5_000);
-
 impl Balance {
     /// Splits the table into parts for a number of nodes. This happens once, with the first nodes of the
     /// roster, whether they come as a whole roster or as changed entries.
@@ -78,12 +75,6 @@
         candidates.min_by_key(|part| listed(*part)).unwrap_or_default()
     }
 
-    /// Records that the roster answered.
-    pub(super) fn roster_answered(&mut self) {
-        self.roster_due = None;
-        self.roster_failures = 0;
-    }
-
     /// Completes an update of the roster, whole or of single entries.
     pub(super) fn finish_roster_update(&mut self, orders: &mut dyn Orders) {
         self.forget_gone(orders);
@@ -101,16 +92,6 @@
             orders.forget_node(id);
         }
     }
-
-    /// Requests the roster when that is due, and again if no answer comes in time.
-    pub(super) fn request_roster(&mut self, orders: &mut dyn Orders) -> bool {
-        if self.roster_due.is_none_or(|due| self.now < due) {
-            return false;
-        }
-        orders.watch_roster(true);
-        self.roster_due = Some(self.now + ROSTER_TIMEOUT);
-        true
-    }
 }
 
 impl Node {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -343,6 +343,24 @@
     }
 }
 
+/// Guards against a conductor that never asks again: entries that arrive between a failed request and the next one come
+/// from a subscription that has been replaced, and answer neither.
+#[test]
+fn entries_received_after_a_failed_roster_request_do_not_replace_the_next_one() {
+    let mut scenario = Scenario::new(|settings| settings.roster_on_request = true);
+    scenario.change_roster(&[ready_entry(0)]);
+    scenario.run_seconds(6, |_| None);
+    let requests_before = scenario.host.roster_requests.len();
+    scenario.balance.roster_failed(scenario.host.now);
+    scenario.change_roster(&[ready_entry(1)]);
+    scenario.run_seconds(4, |_| None);
+    assert_eq!(scenario.host.roster_requests.len(), requests_before + 1);
+    // That one is answered, so that no other is due.
+    scenario.change_roster(&[ready_entry(2)]);
+    scenario.run_seconds(20, |_| None);
+    assert_eq!(scenario.host.roster_requests.len(), requests_before + 1);
+}
+
 /// Guards against a slow channel that is not noticed, and against one late acknowledgement that makes the channel
 /// look dead: a short queue and a proxy that answered a second late once delayed all flushes.
 #[test]
