Leave a fetch alone that the watch waits for when the module asks again

Callers would see: where the roster must be asked, a full list that takes more than 5 s to arrive is never taken, and no watch is opened meanwhile.

Cause: the module repeats an unanswered request after 5 s, and the reducer took that as leave to start at once: it cleared the time that it had set for the fetch (10 s), cancelled it and sent another.

Change: a repeated request changes nothing while the fetch that the watch needs is open. update_requests is split into its three steps.

a_repeated_request_does_not_give_up_the_fetch_that_the_watch_needs failed before (fetches [2, 3] for [2]); all 38 tests of the reducer pass.

--- a/crates/state/src/reducer/discovery/mod.rs
+++ b/crates/state/src/reducer/discovery/mod.rs
@@ -61,6 +61,12 @@
         self.retry_at.into_iter().chain(self.refetch_at).min()
     }
 
+    /// Returns whether the watch is to be opened now.
+    fn watch_due(&self, now: Time) -> bool {
+        let is_delayed = self.retry_at.is_some_and(|at| now < at);
+        self.watch_wanted && self.watch.is_none() && !is_delayed
+    }
+
     /// Returns a request with the next id, from the version held.
     fn new_request(&mut self) -> Request {
         self.last_request_id += 1;
@@ -157,13 +163,7 @@
     /// Opens, closes and sends the requests that are due.
     pub(super) fn update_requests(&mut self) {
         if let Some(watch_wanted) = self.desired_state.watch_requested.take() {
-            if !watch_wanted {
-                self.cancel(|discovery| &mut discovery.watch);
-                self.cancel(|discovery| &mut discovery.previous_watch);
-            }
-            let suspended_until = self.discovery.suspended_until;
-            self.discovery.watch_wanted = watch_wanted;
-            self.discovery.retry_at = suspended_until.filter(|until| watch_wanted && self.now < *until);
+            self.watch_requested(watch_wanted);
         }
         if std::mem::take(&mut self.desired_state.fetch_requested) {
             self.discovery.refetch_at =
@@ -173,11 +173,27 @@
             self.discovery.refetch_at = None;
             self.fetch();
         }
-        let is_open = self.discovery.watch.is_some();
-        let is_delayed = self.discovery.retry_at.is_some_and(|at| self.now < at);
-        if !self.discovery.watch_wanted || is_open || is_delayed {
-            return;
+        if self.discovery.watch_due(self.now) {
+            self.open_watch();
+        }
+    }
+
+    /// Handles the decision module's request for a watch, or for none. A fetch that the watch needs first goes on.
+    fn watch_requested(&mut self, watch_wanted: bool) {
+        if !watch_wanted {
+            self.cancel(|discovery| &mut discovery.watch);
+            self.cancel(|discovery| &mut discovery.previous_watch);
+        }
+        let discovery = &mut self.discovery;
+        let is_under_way = discovery.watch_wanted && discovery.needs_full_list && discovery.fetch.is_some();
+        discovery.watch_wanted = watch_wanted;
+        if !(watch_wanted && is_under_way) {
+            discovery.retry_at = discovery.suspended_until.filter(|until| watch_wanted && self.now < *until);
         }
+    }
+
+    /// Opens the watch, or fetches the full list if the watch needs it first.
+    fn open_watch(&mut self) {
         if self.discovery.needs_full_list {
             self.discovery.retry_at = Some(self.now + limits::FETCH_TIMEOUT);
             return self.fetch();
--- a/crates/state/src/tests/discovery.rs
+++ b/crates/state/src/tests/discovery.rs
@@ -262,3 +262,18 @@
     harness.pass(5_000);
     assert_eq!(harness.watches().last(), Some(&(3, 4)));
 }
+
+/// Guards against a full list that is never taken where the roster must be asked: the module repeats its request after
+/// 5 s, which gave up the fetch of a list that takes longer, again and again.
+#[test]
+fn a_repeated_request_does_not_give_up_the_fetch_that_the_watch_needs() {
+    let mut harness = Harness::new(true);
+    harness.turn(1, [Input::MembershipUpdate(1, list(2, false, &[7]))]);
+    harness.pass(500);
+    assert_eq!(harness.fetches(), [2]);
+    harness.pass(limits::FETCH_TIMEOUT.0 / 10 - 1_000);
+    assert_eq!(harness.fetches(), [2]);
+    harness.turn(1, [Input::MembershipUpdate(2, list(3, true, &[0, 4]))]);
+    harness.pass(100);
+    assert_eq!(harness.watches().last(), Some(&(3, 3)));
+}
