--- a/crates/channel/src/core/publisher/feed.rs
+++ b/crates/channel/src/core/publisher/feed.rs
@@ -26,7 +26,7 @@
     pub(super) bytes: Bytes,
 }
 
-/// The encoded snapshot of a revision.
+/// The encoded snapshot of a revision of the epoch.
 #[derive(Debug)]
 struct CachedSnapshot {
     revision: Revision,
@@ -36,6 +36,14 @@
     bytes: Bytes,
 }
 
+/// A change that is encoded as one from a later revision than that of the change before it.
+#[derive(Debug)]
+struct RebasedChange {
+    from: Revision,
+    to: Revision,
+    bytes: Bytes,
+}
+
 /// The encoded withdrawal of what two revisions differ in; `None` if there is nothing to withdraw.
 #[derive(Debug)]
 struct CachedWithdrawal {
@@ -56,6 +64,7 @@
 /// A feed: a table, its recent changes, and lines that are encoded once for all followers.
 #[derive(Debug)]
 pub(super) struct Feed {
+    /// The revision of the epoch at which the feed last changed.
     pub(super) revision: Revision,
     pub(super) table: Table,
     history: VecDeque<LoggedChange>,
@@ -64,6 +73,8 @@
     pub(super) mark: Option<(Revision, u16)>,
     /// Encoded when it is first needed.
     snapshot: Option<CachedSnapshot>,
+    /// Shared by the followers that were sent a snapshot at the same revision.
+    rebased: Option<RebasedChange>,
     /// Shared by the thousands of followers that may stop reading at the same time.
     withdrawal: Option<CachedWithdrawal>,
     /// Shared like `withdrawal`.
@@ -80,24 +91,42 @@
             history_bytes: 0,
             mark: None,
             snapshot: None,
+            rebased: None,
             withdrawal: None,
             heartbeat: None,
             follower_count: 0,
         }
     }
 
-    /// Returns whether the history has all changes after a revision.
+    /// Returns whether the history has all changes of the feed after a revision of the epoch.
     pub(super) fn history_covers(&self, revision: Revision) -> bool {
-        revision == self.revision
-            || self.history.binary_search_by(|change| change.base.cmp(&revision)).is_ok()
+        revision >= self.revision || self.history.front().is_some_and(|oldest| oldest.base <= revision)
     }
 
     /// Returns the changes after a revision that the history covers.
     pub(super) fn changes_after(&self, revision: Revision) -> impl Iterator<Item = &LoggedChange> {
-        let start = self.history.partition_point(|change| change.base < revision);
+        let start = self.history.partition_point(|change| change.revision <= revision);
         self.history.range(start..)
     }
 
+    /// Returns the first change after a revision that the history covers, as a change from that revision, and the
+    /// revision that it leads to. The table of a feed is the same at all revisions between two of its changes.
+    pub(super) fn next_change(&mut self, from: Revision, codec: &impl Codec) -> Option<(Revision, Bytes)> {
+        let change = self.changes_after(from).next()?;
+        let (base, revision) = (change.base, change.revision);
+        if base == from {
+            return Some((revision, change.bytes.clone()));
+        }
+        if let Some(cached) = &self.rebased
+            && (cached.from, cached.to) == (from, revision)
+        {
+            return Some((revision, cached.bytes.clone()));
+        }
+        let bytes = rebase(&change.bytes, from, codec);
+        self.rebased = Some(RebasedChange { from, to: revision, bytes: bytes.clone() });
+        Some((revision, bytes))
+    }
+
     /// Returns the size in lines of the changes after a revision; unlimited if the history does not cover it.
     pub(super) fn waiting_lines(&self, revision: Revision) -> usize {
         if self.history_covers(revision) {
@@ -160,27 +189,26 @@
         bytes
     }
 
-    /// Returns the encoded snapshot, and its size in lines.
+    /// Returns the snapshot of a point of this feed at the latest revision of the epoch, encoded, and its size in lines.
     pub(super) fn encoded_snapshot(
         &mut self,
-        id: FeedId,
-        epoch: &Epoch,
+        point: FeedPoint,
         roster: u64,
         codec: &impl Codec,
         counters: &mut Counters,
     ) -> (Bytes, usize) {
-        let revision = self.revision;
+        let revision = point.revision;
         if let Some(cached) =
             self.snapshot.as_ref().filter(|cached| cached.revision == revision && cached.roster == roster)
         {
             return (cached.bytes.clone(), cached.cost);
         }
         let update = TableUpdate {
-            point: FeedPoint { epoch: epoch.clone(), feed: id, revision },
+            point,
             base: None,
             roster,
             parts: self.table.to_parts(),
-            mark: self.mark.filter(|(marked, _)| *marked == revision).map(|(_, mark)| mark),
+            mark: self.mark.filter(|(marked, _)| *marked == self.revision).map(|(_, mark)| mark),
         };
         let bytes = encode(codec, &update);
         let cost = update.cost();
@@ -190,9 +218,14 @@
         (bytes, cost)
     }
 
-    /// Returns the encoded heartbeat of the latest revision.
-    pub(super) fn encoded_heartbeat(&mut self, heartbeat: Heartbeat, codec: &impl Codec) -> Bytes {
-        let (revision, roster, live) = (self.revision, heartbeat.roster, heartbeat.live);
+    /// Returns the encoded heartbeat of a follower that was sent everything up to a revision.
+    pub(super) fn encoded_heartbeat(
+        &mut self,
+        revision: Revision,
+        heartbeat: Heartbeat,
+        codec: &impl Codec,
+    ) -> Bytes {
+        let (roster, live) = (heartbeat.roster, heartbeat.live);
         let cached = self
             .heartbeat
             .as_ref()
@@ -213,3 +246,19 @@
     }
     bytes.into()
 }
+
+/// Returns an encoded change with another base.
+fn rebase(change: &Bytes, base: Revision, codec: &impl Codec) -> Bytes {
+    let mut bytes = Vec::new();
+    for line in change.split_inclusive(|byte| *byte == b'\n') {
+        match codec.decode(line) {
+            Ok(Line::Fragment(fragment)) => {
+                let fragment = UpdateFragment { base: Some(base), ..fragment };
+                bytes.extend_from_slice(&codec.encode(&Line::Fragment(fragment)));
+            }
+            // What this publisher encoded is a fragment that can be decoded.
+            _ => bytes.extend_from_slice(line),
+        }
+    }
+    bytes.into()
+}
--- a/crates/channel/src/core/publisher/followers.rs
+++ b/crates/channel/src/core/publisher/followers.rs
@@ -85,7 +85,8 @@
         let Some(id) = follower.feed else { return };
         let Some(point) = follower.resume_point.take() else { return };
         let Some(feed) = self.feeds.get(&id) else { return };
-        let known = point.epoch == self.epoch && point.feed == id && feed.history_covers(point.revision);
+        let is_own = point.epoch == self.epoch && point.feed == id && point.revision <= self.revision;
+        let known = is_own && feed.history_covers(point.revision);
         self.counters.add(if known { "resumed from history" } else { "resume points out of history" }, 1);
         if known {
             follower.sent_revision = Some(point.revision);
@@ -123,6 +124,8 @@
         self.lineage = lineage;
         self.classes = classes;
         self.roster_version = 0;
+        self.revision = Revision::default();
+        self.turn_revision = Revision::default();
         self.feeds.clear();
         self.bindings.clear();
         self.pending.clear();
--- a/crates/channel/src/core/publisher/mod.rs
+++ b/crates/channel/src/core/publisher/mod.rs
@@ -113,7 +113,7 @@
     last_heard: Time,
     /// The feed that the follower is bound to.
     feed: Option<FeedId>,
-    /// The latest revision that was sent; `None` if a snapshot is needed.
+    /// The revision of the epoch up to which everything was sent; `None` if a snapshot is needed.
     sent_revision: Option<Revision>,
     /// The table that the follower had when it came, until it is bound to a feed.
     resume_point: Option<FeedPoint>,
@@ -145,6 +145,10 @@
     roster_version: u64,
     /// Whether the published tables are the conductor's latest.
     live: bool,
+    /// How far the epoch has come, over all its feeds.
+    revision: Revision,
+    /// The revision of the turn whose messages are being added.
+    turn_revision: Revision,
     feeds: BTreeMap<FeedId, Feed>,
     bindings: BTreeMap<Binding, FeedId>,
     last_feed_number: u32,
@@ -184,6 +188,8 @@
             classes,
             roster_version: 0,
             live: true,
+            revision: Revision::default(),
+            turn_revision: Revision::default(),
             feeds: BTreeMap::new(),
             bindings: BTreeMap::new(),
             last_feed_number: 0,
--- a/crates/channel/src/core/publisher/output.rs
+++ b/crates/channel/src/core/publisher/output.rs
@@ -74,24 +74,28 @@
             }
         }
         if let Some(sent) = follower.sent_revision {
-            let change = feed.changes_after(sent).next()?;
-            follower.sent_revision = Some(change.revision);
+            let (revision, bytes) = feed.next_change(sent, &self.codec)?;
+            follower.sent_revision = Some(revision);
             follower.heartbeat_from = now;
-            follower.withdrawals_sent_through = follower.withdrawals_sent_through.max(change.revision);
-            return Some(change.bytes.clone());
+            follower.withdrawals_sent_through = follower.withdrawals_sent_through.max(revision);
+            return Some(bytes);
         }
         self.catch_up_budget.refill(now, self.limits.catch_up_lines_per_second);
         follower.awaits_budget = self.catch_up_budget.is_exhausted();
         if follower.awaits_budget {
             return None;
         }
+        // The table stands for all that the epoch has come to, also where the feed last changed long before: else it
+        // would seem older than what the follower has had of another feed.
+        let revision = self.revision.max(feed.revision);
+        let point = FeedPoint { epoch: self.epoch.clone(), feed: id, revision };
         let (bytes, cost) =
-            feed.encoded_snapshot(id, &self.epoch, self.roster_version, &self.codec, &mut self.counters);
+            feed.encoded_snapshot(point, self.roster_version, &self.codec, &mut self.counters);
         self.catch_up_budget.spend(cost);
         self.counters.add("snapshots sent", 1);
-        follower.sent_revision = Some(feed.revision);
+        follower.sent_revision = Some(revision);
         follower.heartbeat_from = now;
-        follower.withdrawals_sent_through = feed.revision;
+        follower.withdrawals_sent_through = revision;
         follower.heartbeat_owed = !self.live;
         Some(bytes)
     }
@@ -114,8 +118,9 @@
         };
         let sent = follower.sent_revision;
         let feed = follower.feed.and_then(|id| self.feeds.get_mut(&id));
-        Some(match feed.filter(|feed| sent == Some(feed.revision)) {
-            Some(feed) => feed.encoded_heartbeat(heartbeat, &self.codec),
+        let caught_up = sent.zip(feed).filter(|(sent, feed)| *sent >= feed.revision);
+        Some(match caught_up {
+            Some((sent, feed)) => feed.encoded_heartbeat(sent, heartbeat, &self.codec),
             None => self.codec.encode(&Line::Heartbeat(heartbeat)),
         })
     }
--- a/crates/channel/src/core/publisher/relay.rs
+++ b/crates/channel/src/core/publisher/relay.rs
@@ -18,6 +18,7 @@
         table: &Table,
     ) -> Vec<Action> {
         let id = position.feed;
+        self.revision = self.revision.max(position.revision);
         if !self.feeds.contains_key(&id) {
             self.replace_relayed_feed(position, mark, table);
         } else if let Some(feed) = self.feeds.get_mut(&id)
--- a/crates/channel/src/core/publisher/turns.rs
+++ b/crates/channel/src/core/publisher/turns.rs
@@ -42,6 +42,7 @@
     /// are added, [`Publisher::finish_turn`] publishes them.
     pub fn add_message(&mut self, to: &[ConnectionId], message: &Message) {
         self.has_messages = true;
+        self.turn_revision = self.turn_revision.max(Revision(message.revision));
         let is_unbound = message.binding.iter().all(Option::is_none);
         if is_unbound {
             // Followers without a binding have no feed yet: withdrawals can reach them only ahead of their tables.
@@ -137,6 +138,7 @@
             self.record_mark(pending.mark, now);
             self.publish_change(id, pending);
         }
+        self.revision = self.revision.max(self.turn_revision);
         let mut actions = Vec::new();
         let has_messages = std::mem::take(&mut self.has_messages);
         if !has_messages {
@@ -146,7 +148,7 @@
             let is_behind = follower
                 .feed
                 .and_then(|id| self.feeds.get(&id))
-                .is_some_and(|feed| follower.sent_revision != Some(feed.revision));
+                .is_some_and(|feed| follower.sent_revision.is_none_or(|sent| sent < feed.revision));
             if is_behind || !follower.urgent_withdrawals.is_empty() {
                 actions.extend(follower.stream.map(Action::Wake));
             }
