Channel: tell with each beat how far a table stands, so that relays can pass it on

Callers would see: a dispatcher that comes to a relay of a silent feed, from a relay whose table is as of a later revision, refuses this relay's table as older until it changes.

Cause: as before, a silent feed's table was stated as of its last change.

Old subscribers ignore the field, and a relay behind an old conductor sends as before.

a_dispatcher_that_moves_to_a_relay_of_a_silent_feed_becomes_current fails without the field (stale for current).

--- a/crates/channel/src/core/codec.rs
+++ b/crates/channel/src/core/codec.rs
@@ -107,6 +107,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     revision: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    latest: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     roster: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     live: Option<bool>,
@@ -277,6 +279,7 @@
             epoch: Some(heartbeat.epoch.to_string()),
             feed: heartbeat.position.map(|(feed, _)| feed.0),
             revision: heartbeat.position.map(|(_, revision)| revision.0),
+            latest: heartbeat.latest.map(|latest| latest.0),
             roster: Some(heartbeat.roster),
             live: Some(heartbeat.live),
             ..WireLine::of_kind("beat")
@@ -374,6 +377,7 @@
         Ok(Line::Heartbeat(Heartbeat {
             epoch: self.parse_epoch()?,
             position,
+            latest: self.latest.map(Revision),
             roster: require(self.roster, "roster")?,
             live: require(self.live, "live")?,
         }))
--- a/crates/channel/src/core/line.rs
+++ b/crates/channel/src/core/line.rs
@@ -145,6 +145,9 @@
     pub epoch: Epoch,
     /// The feed and its revision; `None` before the subscriber is bound to a feed.
     pub position: Option<(FeedId, Revision)>,
+    /// How far the epoch has come without a further change of the feed; `None` where changes of it are still to be sent, or
+    /// the publisher does not say.
+    pub latest: Option<Revision>,
     /// The version of the list that the feed reflects.
     pub roster: u64,
     /// Whether the published tables are the conductor's latest; false at a relay that is cut off from its origin.
--- a/crates/channel/src/core/publisher/feed.rs
+++ b/crates/channel/src/core/publisher/feed.rs
@@ -52,12 +52,10 @@
     bytes: Option<Bytes>,
 }
 
-/// The encoded heartbeat of a revision.
+/// A heartbeat and its encoded form.
 #[derive(Debug)]
 struct CachedHeartbeat {
-    revision: Revision,
-    roster: u64,
-    live: bool,
+    heartbeat: Heartbeat,
     bytes: Bytes,
 }
 
@@ -218,23 +216,13 @@
         (bytes, cost)
     }
 
-    /// Returns the encoded heartbeat of a follower that was sent everything up to a revision.
-    pub(super) fn encoded_heartbeat(
-        &mut self,
-        revision: Revision,
-        heartbeat: Heartbeat,
-        codec: &impl Codec,
-    ) -> Bytes {
-        let (roster, live) = (heartbeat.roster, heartbeat.live);
-        let cached = self
-            .heartbeat
-            .as_ref()
-            .filter(|cached| cached.revision == revision && cached.roster == roster && cached.live == live);
-        if let Some(cached) = cached {
+    /// Returns a heartbeat of this feed, encoded.
+    pub(super) fn encoded_heartbeat(&mut self, heartbeat: Heartbeat, codec: &impl Codec) -> Bytes {
+        if let Some(cached) = self.heartbeat.as_ref().filter(|cached| cached.heartbeat == heartbeat) {
             return cached.bytes.clone();
         }
-        let bytes = codec.encode(&Line::Heartbeat(heartbeat));
-        self.heartbeat = Some(CachedHeartbeat { revision, roster, live, bytes: bytes.clone() });
+        let bytes = codec.encode(&Line::Heartbeat(heartbeat.clone()));
+        self.heartbeat = Some(CachedHeartbeat { heartbeat, bytes: bytes.clone() });
         bytes
     }
 }
--- a/crates/channel/src/core/publisher/output.rs
+++ b/crates/channel/src/core/publisher/output.rs
@@ -110,17 +110,18 @@
         }
         follower.heartbeat_owed = false;
         follower.heartbeat_from = now;
+        let sent = follower.sent_revision;
+        let feed = follower.feed.and_then(|id| self.feeds.get_mut(&id));
+        let caught_up = feed.filter(|feed| sent.is_some_and(|sent| sent >= feed.revision));
         let heartbeat = Heartbeat {
             epoch: self.epoch.clone(),
-            position: follower.feed.zip(follower.sent_revision),
+            position: follower.feed.zip(sent),
+            latest: caught_up.is_some().then_some(self.revision),
             roster: self.roster_version,
             live: self.live,
         };
-        let sent = follower.sent_revision;
-        let feed = follower.feed.and_then(|id| self.feeds.get_mut(&id));
-        let caught_up = sent.zip(feed).filter(|(sent, feed)| *sent >= feed.revision);
         Some(match caught_up {
-            Some((sent, feed)) => feed.encoded_heartbeat(sent, heartbeat, &self.codec),
+            Some(feed) => feed.encoded_heartbeat(heartbeat, &self.codec),
             None => self.codec.encode(&Line::Heartbeat(heartbeat)),
         })
     }
--- a/crates/channel/src/core/publisher/relay.rs
+++ b/crates/channel/src/core/publisher/relay.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Sets how far the origin's epoch has come without a change of the published table. Snapshots are sent as of then.
+    pub fn set_latest_revision(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Sets the version of the list that the published tables reflect, as the origin's heartbeats report it.
     pub fn set_roster(&mut self, roster_version: u64) {
         self.roster_version = roster_version;
--- a/crates/channel/src/core/subscriber.rs
+++ b/crates/channel/src/core/subscriber.rs
@@ -191,6 +191,8 @@
     caught_up: bool,
     /// Whether its tables are the conductor's latest.
     live: bool,
+    /// How far its epoch has come without a further change of the current table.
+    latest: Revision,
 }
 
 /// The subscriber's state machine.
@@ -283,6 +285,13 @@
         self.history.current()
     }
 
+    /// Returns the latest revision that the current table is known to stand for: its own, or a later one of its epoch that
+    /// its publisher has come to without a change of it.
+    pub fn latest_revision(&self) -> Revision {
+        let own = self.history.current().map_or(Revision::default(), |current| current.revision);
+        self.stream.as_ref().map_or(own, |open| own.max(open.latest))
+    }
+
     /// Returns the current table, without the nodes withdrawn ahead of it.
     pub fn table(&self) -> &Table {
         &self.table
@@ -489,7 +498,7 @@
 
     fn handle_welcome(&mut self, welcome: Welcome) {
         self.counters.add("welcomes", 1);
-        self.stream = Some(OpenStream { welcome, caught_up: false, live: true });
+        self.stream = Some(OpenStream { welcome, caught_up: false, live: true, latest: Revision::default() });
         self.last_alive_sent = self.now;
     }
 
@@ -694,6 +703,7 @@
                 self.history.raise_roster(heartbeat.roster);
                 if let Some(open) = &mut self.stream {
                     open.caught_up = true;
+                    open.latest = open.latest.max(heartbeat.latest.unwrap_or_default());
                 }
                 Ok(())
             }
--- a/crates/channel/src/core/tests/mod.rs
+++ b/crates/channel/src/core/tests/mod.rs
@@ -238,5 +238,11 @@
 
 fn heartbeat(life: u64, revision: u64, roster: u64) -> Line {
     let position = Some((FeedId(1), Revision(revision)));
-    Line::Heartbeat(Heartbeat { epoch: epoch(life), position, roster, live: true })
+    Line::Heartbeat(Heartbeat {
+        epoch: epoch(life),
+        position,
+        latest: Some(Revision(revision)),
+        roster,
+        live: true,
+    })
 }
--- a/crates/channel/src/core/tests/rebinding.rs
+++ b/crates/channel/src/core/tests/rebinding.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Publishes the table held, as the relay of the program does after each that it applies.
+    /// Publishes the table held and how far it stands, as the relay of the program does after each event.
     fn publish(&mut self) {
         let core = &self.dispatcher.core;
         let position = core.position().expect("a table");
@@ -174,6 +174,7 @@
             self.publisher.change_epoch(position.epoch.clone(), position.lineage.clone(), core.classes());
         }
         self.publisher.publish_relayed(&position.point(), position.roster, None, core.table());
+        self.publisher.set_latest_revision(core.latest_revision());
     }
 
     /// Opens a stream of a dispatcher's at the relay.
@@ -211,3 +212,28 @@
     assert_eq!(dispatcher.core.state(), State::Current);
     assert_ne!(dispatcher.held().0, feed_before);
 }
+
+/// Guards against a dispatcher that comes from a relay bound to another part of the table and refuses what this relay
+/// publishes, because its own part has been silent since before: the relay knows from heartbeats how far its table stands.
+#[test]
+fn a_dispatcher_that_moves_to_a_relay_of_a_silent_feed_becomes_current() {
+    let (mut deployment, _settled) = with_silent_feed();
+    let mut silent = Relay::new(1, deployment.now);
+    deployment.follow(&mut silent.dispatcher, 1);
+    let mut changing = Relay::new(2, deployment.now);
+    deployment.follow(&mut changing.dispatcher, 0);
+    for weight in [0.25, 0.5, 0.75] {
+        deployment.change(0, weight, &mut [&mut silent.dispatcher, &mut changing.dispatcher]);
+    }
+    changing.publish();
+    let mut dispatcher = Dispatcher::new(5, deployment.now);
+    changing.serve(&mut dispatcher, deployment.now);
+    let (feed_before, revision_before) = dispatcher.held();
+    dispatcher.lose_stream(deployment.now);
+    deployment.now = deployment.now + limits().heartbeat_interval;
+    silent.dispatcher.read(deployment.now, &mut deployment.conductor.publisher);
+    silent.publish();
+    silent.serve(&mut dispatcher, deployment.now);
+    assert_eq!(dispatcher.core.state(), State::Current);
+    assert!(dispatcher.held().0 != feed_before && dispatcher.held().1 >= revision_before);
+}
--- a/crates/channel/src/net/relay.rs
+++ b/crates/channel/src/net/relay.rs
@@ -66,8 +66,10 @@
         }
         let live = subscriber.state() == State::Current;
         let roster = subscriber.position().map_or(0, |position| position.roster);
+        let latest = subscriber.latest_revision();
         server.update(|publisher, _| {
             publisher.set_roster(roster);
+            publisher.set_latest_revision(latest);
             ((), publisher.set_live(live))
         });
         true
