--- a/crates/channel/src/net/mod.rs
+++ b/crates/channel/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Publisher and subscriber over HTTP/1.1. All decisions are made in [`crate::core`].
 
 pub mod client;
+mod follow_query;
 pub mod relay;
 pub mod server;
 
--- a/crates/channel/src/net/server.rs
+++ b/crates/channel/src/net/server.rs
@@ -19,7 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use oatpitch::interface::{ProxyId, Time, ZoneId};
+use oatpitch::interface::{ProxyId, Time};
 use oatpitch_state::ConnectionId;
 use oatpitch_state::message::Message;
 use serde::Deserialize;
@@ -28,6 +28,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tower::Service;
 
+use super::follow_query::{FieldError, parse_follow_request};
 use super::{Clock, to_duration};
 use crate::core::codec::{Codec, Json};
 use crate::core::line::*;
@@ -58,15 +59,6 @@
 /// The maximum number of connections that have not made a valid request yet.
 const MAX_UNIDENTIFIED: usize = 64;
 
-/// The maximum number of tags of a subscriber.
-const MAX_TAGS: usize = 8;
-
-/// The maximum length in bytes of a tag's name, and of its value.
-const MAX_TAG_BYTES: usize = 64;
-
-/// The maximum rate that a subscriber may state, in exchanges per second.
-const MAX_RATE: f64 = 100_000.0;
-
 /// How long a new connection is safe from being closed for others: after a restart thousands connect at once.
 const MIN_UNIDENTIFIED_AGE: Duration = Duration::from_millis(500);
 
@@ -374,103 +366,6 @@
     response
 }
 
-/// A field of a request that is wrong, and what is wrong with it.
-type FieldError = (&'static str, &'static str);
-
-/// The fields of a query, each by its key, and its tags by name.
-struct QueryFields {
-    fields: BTreeMap<String, String>,
-    tags: BTreeMap<String, String>,
-}
-
-impl QueryFields {
-    fn parse(query: &str) -> Result<QueryFields, FieldError> {
-        let mut fields = BTreeMap::new();
-        let mut tags = BTreeMap::new();
-        for (key, value) in form_urlencoded::parse(query.as_bytes()) {
-            if key == "tag" {
-                let (name, value) = value.split_once(':').ok_or(("tag", "is not of the form NAME:VALUE"))?;
-                let is_too_long = name.len() > MAX_TAG_BYTES || value.len() > MAX_TAG_BYTES;
-                if name.is_empty() || is_too_long || tags.len() >= MAX_TAGS {
-                    return Err(("tag", "is too long, has no name, or is one of too many"));
-                }
-                tags.insert(name.into(), value.into());
-                continue;
-            }
-            fields.insert(key.into_owned(), value.into_owned());
-        }
-        Ok(QueryFields { fields, tags })
-    }
-
-    fn get(&self, key: &str) -> Option<&str> {
-        self.fields.get(key).map(String::as_str)
-    }
-
-    fn require(&self, key: &'static str) -> Result<&str, FieldError> {
-        self.get(key).ok_or((key, "is missing"))
-    }
-
-    fn whole_number(&self, key: &'static str) -> Result<Option<u64>, FieldError> {
-        match self.get(key) {
-            Some(text) => text.parse::<u64>().map(Some).map_err(|_| (key, "is no whole number")),
-            None => Ok(None),
-        }
-    }
-
-    /// Returns the point to resume from; `None` if the query names none.
-    fn resume_point(&self) -> Result<Option<FeedPoint>, FieldError> {
-        let feed = self.whole_number("feed")?;
-        let revision = self.whole_number("revision")?;
-        let feed = feed.map(u32::try_from).transpose().map_err(|_| ("feed", "is no number of a feed"))?;
-        let epoch = match self.get("epoch") {
-            Some(text) => Some(Epoch::parse(text).ok_or(("epoch", "is no epoch"))?),
-            None => None,
-        };
-        match (epoch, feed, revision) {
-            (Some(epoch), Some(feed), Some(revision)) => {
-                Ok(Some(FeedPoint { epoch, feed: FeedId(feed), revision: Revision(revision) }))
-            }
-            (None, None, None) => Ok(None),
-            _ => Err(("epoch", "goes with feed and revision, or none of the three")),
-        }
-    }
-}
-
-/// Parses the query of a request to follow.
-fn parse_follow_request(query: &str, settings: &ServerSettings) -> Result<FollowRequest, FieldError> {
-    let fields = QueryFields::parse(query)?;
-    let proxy: u32 = fields.require("proxy")?.parse().map_err(|_| ("proxy", "is no number of a proxy"))?;
-    if proxy >= settings.proxy_count {
-        return Err(("proxy", "is beyond the proxies that there are"));
-    }
-    let zone = fields.require("zone")?;
-    let zone = match &settings.zones {
-        Some(zones) => {
-            zones.iter().position(|known| known == zone).ok_or(("zone", "is no zone known here"))?
-        }
-        None => 0,
-    };
-    let rate: f64 = fields.get("rate").unwrap_or("1").parse().map_err(|_| ("rate", "is no number"))?;
-    if !(0.0..=MAX_RATE).contains(&rate) {
-        return Err(("rate", "is out of range: exchanges a second, 0 to 100000"));
-    }
-    let resume = fields.resume_point()?;
-    let fresh = match fields.get("fresh") {
-        None => resume.is_none(),
-        Some("true") => true,
-        Some("false") => false,
-        Some(_) => return Err(("fresh", "is neither true nor false")),
-    };
-    Ok(FollowRequest {
-        proxy: ProxyId(proxy),
-        zone: ZoneId(zone as u16),
-        rate,
-        fresh,
-        resume,
-        tags: fields.tags,
-    })
-}
-
 /// Why a request to follow is refused.
 enum FollowRefusal {
     /// A field of the query is wrong.
@@ -482,7 +377,7 @@
 impl FollowRefusal {
     fn into_response(self) -> HttpResponse {
         match self {
-            FollowRefusal::Field((key, problem)) => {
+            FollowRefusal::Field(FieldError { key, problem }) => {
                 error_response(StatusCode::BAD_REQUEST, &format!("{key} {problem}"), Some(key))
             }
             FollowRefusal::Full => {
