Channel: send the mark of its binding to a follower bound to a standing feed

Operators would see: lines of such bindings count as waiting in the channel until they are given up, though the subscriber took them at once.

Those bound before are sent nothing. Left: one that resumes from the history gets no mark.

--- a/crates/channel/src/core/publisher/feed.rs
+++ b/crates/channel/src/core/publisher/feed.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// Sets the mark that snapshots request until the next change: followers were bound to the feed as it stands.
+    pub(super) fn set_snapshot_mark(&mut self, mark: u16) {
+        self.mark = Some((self.revision, mark));
+        self.snapshot = None;
+    }
+
     /// Appends a change to the history, and drops the oldest changes beyond the limits.
     pub(super) fn append(&mut self, change: LoggedChange, limits: &Limits) {
         self.history_bytes += change.bytes.len();
--- a/crates/channel/src/core/publisher/turns.rs
+++ b/crates/channel/src/core/publisher/turns.rs
@@ -188,6 +188,9 @@
         // The cost of a part without lines, nodes or a level is 1, for the part itself.
         let has_changes = parts.iter().any(|part| part.cost() > 1 || part.whole);
         if !has_changes || pending.revision <= base.0 {
+            if let Some(mark) = pending.mark {
+                feed.set_snapshot_mark(mark);
+            }
             return;
         }
         let revision = Revision(pending.revision);
--- a/crates/channel/src/core/tests/rebinding.rs
+++ b/crates/channel/src/core/tests/rebinding.rs
@@ -8,17 +8,21 @@
     core: Subscriber,
     attempt: StreamAttempt,
     stream: StreamId,
+    /// Everything that its core has asked for.
+    sent: Vec<Action>,
 }
 
 impl Dispatcher {
     fn new(proxy: u32, now: Time) -> Dispatcher {
         let (core, actions) = Subscriber::new(now, SUBSCRIBER_SETTINGS, 1, proxy.into());
-        let mut dispatcher = Dispatcher { proxy, core, attempt: StreamAttempt(0), stream: StreamId(0) };
+        let mut dispatcher =
+            Dispatcher { proxy, core, attempt: StreamAttempt(0), stream: StreamId(0), sent: Vec::new() };
         dispatcher.see(&actions);
         dispatcher
     }
 
     fn see(&mut self, actions: &[Action]) {
+        self.sent.extend_from_slice(actions);
         for action in actions {
             if let Action::Connect { attempt, .. } = action {
                 self.attempt = *attempt;
@@ -237,3 +241,23 @@
     assert_eq!(dispatcher.core.state(), State::Current);
     assert!(dispatcher.held().0 != feed_before && dispatcher.held().1 >= revision_before);
 }
+
+/// Guards against lines that count as waiting in the channel for seconds: a follower that was bound to a feed with
+/// followers already was never sent the mark of its binding, so that it could not acknowledge it.
+#[test]
+fn a_follower_bound_to_a_standing_feed_is_sent_the_mark_of_its_binding() {
+    let (mut deployment, mut settled) = with_silent_feed();
+    let mut joining = Dispatcher::new(1, deployment.now);
+    deployment.follow(&mut joining, 1);
+    let marks = |actions: &[Action]| -> Vec<u16> {
+        let sent = actions.iter().filter_map(|action| match action {
+            Action::SendAlive { marks, .. } => Some(marks.clone()),
+            _ => None,
+        });
+        sent.flatten().collect()
+    };
+    assert_eq!(marks(&joining.sent), [deployment.conductor.marks]);
+    let before = settled.sent.len();
+    settled.read(deployment.now, &mut deployment.conductor.publisher);
+    assert_eq!(settled.sent.len(), before, "those bound before are asked for nothing");
+}
