Hooks: look at a call's deadline every 16 operations

Operators would see: a hook with a limit of 20 ms that takes 0.28 s of a core in each call until it is suspended.

Cause: time was looked at every 256 operations, and one of them may take a millisecond (writing a list of 8,000 numbers as text).

Change: every 16.

--- a/crates/hooks/src/engine/budget.rs
+++ b/crates/hooks/src/engine/budget.rs
@@ -14,8 +14,8 @@
 #[global_allocator]
 static ALLOCATOR: MetricAlloc<System> = MetricAlloc::new(System);
 
-/// Operations between two checks of the deadline.
-const OPERATIONS_PER_DEADLINE_CHECK: u64 = 256;
+/// Operations between two checks of the deadline. A single one may take a millisecond.
+const OPERATIONS_PER_DEADLINE_CHECK: u64 = 16;
 
 /// Which limit a call has exceeded.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/hooks/tests/bad_hooks.rs
+++ b/crates/hooks/tests/bad_hooks.rs
@@ -147,6 +147,33 @@
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
 }
 
+/// Guards against a call that takes many times its time limit because each of its operations is long: the deadline was
+/// looked at every 256 operations only.
+#[test]
+fn a_loop_of_long_operations_is_stopped_soon_after_its_time_limit() {
+    const OPERATIONS_ALLOWED: u32 = 16;
+    let limits = Limits {
+        max_operations: u64::MAX,
+        time_limit: Duration::from_millis(5),
+        max_memory_bytes: 256 << 10,
+    };
+    let time_of = |limits: &Limits, body: &str| {
+        let source = format!("fn shape(view, settings) {{ let a = []; a.pad(8000, 1.5); {body} }}");
+        let start = Instant::now();
+        let loaded = Program::load(&source, limits.clone(), &Value::Null, &sample());
+        (start.elapsed(), loaded.err().map(|error| error.message))
+    };
+    // Other processes can only lengthen a call, so the shortest of several counts.
+    let shortest = |limits: &Limits, body: &str| (0..5).map(|_| time_of(limits, body)).min().expect("calls");
+    let generous = Limits { time_limit: Duration::from_secs(10), ..limits.clone() };
+    let ten_operations = "for i in [1, 2, 3, 4, 5, 6, 7, 8, 9, 10] { a.to_string(); }";
+    let (time_of_ten, _) = shortest(&generous, ten_operations);
+    let (elapsed, error) = shortest(&limits, "loop { a.to_string(); }");
+    assert_eq!(error.as_deref(), Some("shape, trial call: exceeded its time limit"));
+    let allowed = limits.time_limit + time_of_ten * OPERATIONS_ALLOWED / 10;
+    assert!(elapsed < allowed, "{elapsed:?} for {allowed:?}");
+}
+
 /// Shares that are 0, negative, huge or not a number, nodes that are unknown, draining or cold, and tries of what must
 /// not be repeated: each is cut by its rule and counted by hook and point, and the adjustments are within all bounds.
 #[test]
