Channel: take a change only from revisions that its base is known to stand for

Callers would see: a dispatcher that comes to a relay with a table from between two of the relay's changes ends with a table that no publisher ever had.

A relay that was behind takes several of its origin's changes as one, so that its table was never that of a revision between them.

Change: each change is kept with the latest revision at which the table before it was known to stand: the epoch's for a conductor, what the origin told for a relay. What the origin told is forgotten with the table that it was told of.

Also: the count of a call's memory is asked as a question without a parameter.

--- a/crates/channel/src/core/publisher/feed.rs
+++ b/crates/channel/src/core/publisher/feed.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct LoggedChange {
     pub(super) base: Revision,
+    /// The latest revision at which the table was known to be the same as at `base`.
+    pub(super) base_latest: Revision,
     pub(super) revision: Revision,
     /// The size of the change in lines.
     pub(super) cost: usize,
@@ -98,7 +100,8 @@
 
     /// Returns whether the history has all changes of the feed after a revision of the epoch.
     pub(super) fn history_covers(&self, revision: Revision) -> bool {
-        revision >= self.revision || self.history.front().is_some_and(|oldest| oldest.base <= revision)
+        let has_next = |next: &LoggedChange| next.base <= revision && revision <= next.base_latest;
+        revision >= self.revision || self.changes_after(revision).next().is_some_and(has_next)
     }
 
     /// Returns the changes after a revision that the history covers.
@@ -108,7 +111,7 @@
     }
 
     /// Returns the first change after a revision that the history covers, as a change from that revision, and the
-    /// revision that it leads to. The table of a feed is the same at all revisions between two of its changes.
+    /// revision that it leads to.
     pub(super) fn next_change(&mut self, from: Revision, codec: &impl Codec) -> Option<(Revision, Bytes)> {
         let change = self.changes_after(from).next()?;
         let (base, revision) = (change.base, change.revision);
--- a/crates/channel/src/core/publisher/relay.rs
+++ b/crates/channel/src/core/publisher/relay.rs
@@ -18,8 +18,11 @@
         table: &Table,
     ) -> Vec<Action> {
         let id = position.feed;
+        // A relay may take several of its origin's changes as one: its table was never that of a revision between them.
+        let base_latest = self.revision;
         self.revision = self.revision.max(position.revision);
         if !self.feeds.contains_key(&id) {
+            self.revision = position.revision;
             self.replace_relayed_feed(position, mark, table);
         } else if let Some(feed) = self.feeds.get_mut(&id)
             && position.revision > feed.revision
@@ -27,6 +30,7 @@
             let parts = feed.table.changes_to(table);
             let withdrawn = parts.iter().flat_map(|part| part.withdrawn.iter().cloned()).collect();
             let base = feed.revision;
+            let base_latest = base_latest.max(base);
             let revision = position.revision;
             feed.table = table.clone();
             feed.mark = mark.map(|mark| (revision, mark));
@@ -41,7 +45,7 @@
             let bytes = encode(&self.codec, &update);
             self.counters.add("changes published", 1);
             self.counters.add("bytes encoded", bytes.len() as u64);
-            feed.append(LoggedChange { base, revision, cost, withdrawn, bytes }, &self.limits);
+            feed.append(LoggedChange { base, base_latest, revision, cost, withdrawn, bytes }, &self.limits);
         }
         self.roster_version = roster_version;
         self.wake_all()
--- a/crates/channel/src/core/publisher/turns.rs
+++ b/crates/channel/src/core/publisher/turns.rs
@@ -203,12 +203,13 @@
             parts,
             mark: pending.mark,
         };
+        let base_latest = self.revision.max(base);
         let cost = update.cost();
         let bytes = encode(&self.codec, &update);
         self.counters.add("changes published", 1);
         self.counters.add("lines published", cost as u64);
         self.counters.add("bytes encoded", bytes.len() as u64);
-        feed.append(LoggedChange { base, revision, cost, withdrawn, bytes }, &self.limits);
+        feed.append(LoggedChange { base, base_latest, revision, cost, withdrawn, bytes }, &self.limits);
         feed.prune_withdrawn();
     }
 }
--- a/crates/channel/src/core/subscriber/lines.rs
+++ b/crates/channel/src/core/subscriber/lines.rs
@@ -195,6 +195,7 @@
         let excess = self.pending_marks.len().saturating_sub(MAX_PENDING_MARKS);
         self.pending_marks.drain(..excess);
         if let Some(open) = self.stream.as_mut() {
+            open.latest = revision;
             let terms = &open.welcome.classes;
             self.classes = terms.iter().map(|terms| terms.name.clone()).collect();
             self.non_idempotent =
--- a/crates/channel/src/core/tests/rebinding.rs
+++ b/crates/channel/src/core/tests/rebinding.rs
@@ -261,3 +261,28 @@
     settled.read(deployment.now, &mut deployment.conductor.publisher);
     assert_eq!(settled.sent.len(), before, "those bound before are asked for nothing");
 }
+
+/// Guards against a table that no publisher ever had: a relay that was behind publishes several changes as one, which must
+/// not be applied to a table from between them.
+#[test]
+fn a_dispatcher_with_a_table_that_a_relay_has_skipped_is_sent_a_snapshot() {
+    let mut deployment = Deployment::new();
+    let mut relay = Relay::new(1, deployment.now);
+    deployment.follow(&mut relay.dispatcher, 0);
+    relay.publish();
+    let mut waiting = Dispatcher::new(6, deployment.now);
+    relay.serve(&mut waiting, deployment.now);
+    let mut dispatcher = Dispatcher::new(5, deployment.now);
+    deployment.follow(&mut dispatcher, 0);
+    deployment.change(0, 0.5, &mut [&mut dispatcher]);
+    // The relay takes both this change and the one that undoes it before it publishes.
+    deployment.change(0, 1.0, &mut [&mut relay.dispatcher]);
+    relay.publish();
+    dispatcher.lose_stream(deployment.now);
+    relay.serve(&mut dispatcher, deployment.now);
+    waiting.read(deployment.now, &mut relay.publisher);
+    for served in [&dispatcher, &waiting] {
+        assert_eq!(served.core.state(), State::Current);
+        assert_eq!(served.core.table(), relay.dispatcher.core.table());
+    }
+}
--- a/crates/hooks/src/engine/bounded_functions.rs
+++ b/crates/hooks/src/engine/bounded_functions.rs
@@ -23,7 +23,7 @@
         }
         while array.len() < length {
             array.push(item.clone());
-            if !budget.allows(0) {
+            if budget.is_memory_exceeded() {
                 return Err(terminated(ExceededLimit::Memory));
             }
         }
--- a/crates/hooks/src/engine/budget.rs
+++ b/crates/hooks/src/engine/budget.rs
@@ -57,17 +57,16 @@
 
     /// Returns the limit that the call has exceeded after so many operations, if any.
     pub fn exceeded(&self, operations: u64) -> Option<ExceededLimit> {
-        if !self.allows(0) {
+        if self.is_memory_exceeded() {
             return Some(ExceededLimit::Memory);
         }
         let is_late = operations.is_multiple_of(OPERATIONS_PER_DEADLINE_CHECK) && self.deadline_passed();
         is_late.then_some(ExceededLimit::Time)
     }
 
-    /// Returns whether the call may hold so many more bytes.
-    pub fn allows(&self, more_bytes: usize) -> bool {
-        let more_bytes = i64::try_from(more_bytes).unwrap_or(i64::MAX);
-        thread_bytes().saturating_add(more_bytes) <= self.0.max_thread_bytes.load(Ordering::Relaxed)
+    /// Returns whether the call holds more memory than it may.
+    pub fn is_memory_exceeded(&self) -> bool {
+        thread_bytes() > self.0.max_thread_bytes.load(Ordering::Relaxed)
     }
 
     fn deadline_passed(&self) -> bool {
