Await the full list that the watch needs, however long it takes

Callers would see: after a version that goes back, a full list that takes over 10 s to arrive is never taken, and no watch is opened meanwhile.

Cause: the reducer began the fetch again after 10 s, which cancelled the open one. The client of discovery ends a response that makes no progress for 3.5 s, so its end is always told, and a limit on the whole only hurts a list that keeps coming.

Change: no request is due while the fetch that the watch needs is open. The time set for it is gone, and with it the special case for the module's repeated request.

a_full_list_that_takes_long_to_arrive_is_awaited failed before, and so did a_failed_fetch_that_the_watch_needs_is_repeated (fetched before its end). The first takes the place of the test of the repeated request: it asks the same, of a list of 60 s for one of 9 s, and of both kinds of discovery.

--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -33,8 +33,6 @@
 pub const MAX_TOO_LONG_DELAY: Time = Time::from_ms(60_000);
 /// How often the delay after a list that was too long is doubled.
 pub const MAX_TOO_LONG_DOUBLINGS: u32 = 6;
-/// A fetch that has neither completed nor failed after this time is repeated.
-pub const FETCH_TIMEOUT: Time = Time::from_ms(10_000);
 /// Time within which, by the protocol, discovery passes on every change. An older list that it still reports after
 /// this time was not delayed on the way.
 pub const MAX_PROPAGATION_DELAY: Time = Time::from_ms(6_000);
--- a/crates/state/src/reducer/discovery/mod.rs
+++ b/crates/state/src/reducer/discovery/mod.rs
@@ -61,10 +61,12 @@
         self.retry_at.into_iter().chain(self.refetch_at).min()
     }
 
-    /// Returns whether the watch is to be opened now.
+    /// Returns whether the watch is to be opened now, or the full list fetched that it needs first. A fetch that is
+    /// open already is awaited, however long it takes: its end is told if it makes no progress.
     fn watch_due(&self, now: Time) -> bool {
         let is_delayed = self.retry_at.is_some_and(|at| now < at);
-        self.watch_wanted && self.watch.is_none() && !is_delayed
+        let awaits_fetch = self.needs_full_list && self.fetch.is_some();
+        self.watch_wanted && self.watch.is_none() && !is_delayed && !awaits_fetch
     }
 
     /// Returns a request with the next id, from the version held.
@@ -178,27 +180,23 @@
         }
     }
 
-    /// Handles the decision module's request for a watch, or for none. A fetch that the watch needs first goes on.
+    /// Handles the decision module's request for a watch, or for none.
     fn watch_requested(&mut self, watch_wanted: bool) {
         if !watch_wanted {
             self.cancel(|discovery| &mut discovery.watch);
             self.cancel(|discovery| &mut discovery.previous_watch);
         }
-        let discovery = &mut self.discovery;
-        let is_under_way = discovery.watch_wanted && discovery.needs_full_list && discovery.fetch.is_some();
-        discovery.watch_wanted = watch_wanted;
-        if !(watch_wanted && is_under_way) {
-            discovery.retry_at = discovery.suspended_until.filter(|until| watch_wanted && self.now < *until);
-        }
+        let suspended_until = self.discovery.suspended_until;
+        self.discovery.watch_wanted = watch_wanted;
+        self.discovery.retry_at = suspended_until.filter(|until| watch_wanted && self.now < *until);
     }
 
     /// Opens the watch, or fetches the full list if the watch needs it first.
     fn open_watch(&mut self) {
+        self.discovery.retry_at = None;
         if self.discovery.needs_full_list {
-            self.discovery.retry_at = Some(self.now + limits::FETCH_TIMEOUT);
             return self.fetch();
         }
-        self.discovery.retry_at = None;
         let request = self.discovery.new_request();
         self.discovery.watch = Some(request);
         self.counters.add("watches opened", 1);
--- a/crates/state/src/tests/discovery.rs
+++ b/crates/state/src/tests/discovery.rs
@@ -263,17 +263,30 @@
     assert_eq!(harness.watches().last(), Some(&(3, 4)));
 }
 
-/// Guards against a full list that is never taken where the roster must be asked: the module repeats its request after
-/// 5 s, which gave up the fetch of a list that takes longer, again and again.
+/// Guards against a full list that is never taken: a fetch that took over 10 s, or over 5 s where the roster must be asked,
+/// was given up and begun again, without end. Its end is told when it makes no progress.
 #[test]
-fn a_repeated_request_does_not_give_up_the_fetch_that_the_watch_needs() {
-    let mut harness = Harness::new(true);
-    harness.turn(1, [Input::MembershipUpdate(1, list(2, false, &[7]))]);
-    harness.pass(500);
-    assert_eq!(harness.fetches(), [2]);
-    harness.pass(limits::FETCH_TIMEOUT.0 / 10 - 1_000);
-    assert_eq!(harness.fetches(), [2]);
-    harness.turn(1, [Input::MembershipUpdate(2, list(3, true, &[0, 4]))]);
-    harness.pass(100);
-    assert_eq!(harness.watches().last(), Some(&(3, 3)));
+fn a_full_list_that_takes_long_to_arrive_is_awaited() {
+    for asked in [false, true] {
+        let mut harness = Harness::new(asked);
+        harness.turn(1, [Input::MembershipUpdate(1, list(2, false, &[7]))]);
+        harness.pass(60_000);
+        assert_eq!((harness.fetches(), harness.watches()), (vec![2], vec![(1, 5)]), "asked: {asked}");
+        harness.turn(1, [Input::MembershipUpdate(2, list(3, true, &[0, 4]))]);
+        harness.pass(100);
+        assert_eq!(harness.watches().last(), Some(&(3, 3)), "asked: {asked}");
+    }
+}
+
+/// A fetch that the watch needs and that ends without a list is repeated.
+#[test]
+fn a_failed_fetch_that_the_watch_needs_is_repeated() {
+    for asked in [false, true] {
+        let mut harness = Harness::new(asked);
+        harness.turn(1, [Input::MembershipUpdate(1, list(2, false, &[7]))]);
+        harness.pass(20_000);
+        harness.turn(1, [Input::DiscoveryRequestEnded(2, "silent for too long".into())]);
+        harness.pass(2_500);
+        assert_eq!(harness.fetches(), [2, 3], "asked: {asked}");
+    }
 }
