Bind proxies to a table without lines while the list names no node

Cause: nobody is bound while the table has no line and nothing is withdrawn, so that no proxy loses its table before the conductor knows of any node. The module could not tell a list without nodes from no list: it was handed an empty one at every start. A list that empties in service and is forgotten does the same.

Change: the module knows whether it holds a list. While it does and no node is known, who joins is bound once to a table that never has a line, and goes on waiting, so that the first nodes split the table as before. Who joins a conductor that was told of no list keeps what it has. The module is handed the list known at the start only if there is one.

--- a/crates/state/src/reducer/mod.rs
+++ b/crates/state/src/reducer/mod.rs
@@ -103,8 +103,10 @@
         if config.known_list != MembershipUpdate::default() {
             reducer.list_received(&config.known_list);
         }
-        let entries = reducer.roster_entries(&config.known_list.entries);
-        reducer.balance.roster_replaced(now, &entries, true, &mut reducer.desired_state);
+        if reducer.has_list {
+            let entries = reducer.roster_entries(&config.known_list.entries);
+            reducer.balance.roster_replaced(now, &entries, true, &mut reducer.desired_state);
+        }
         reducer.balance.run_rules(now, &mut reducer.desired_state);
         reducer.started = true;
         let effects = reducer.close_turn();
--- a/crates/state/src/tests/membership.rs
+++ b/crates/state/src/tests/membership.rs
@@ -114,3 +114,33 @@
     harness.pass(500);
     assert_eq!(harness.held(1).tables["quote"].len(), 1);
 }
+
+/// Guards against a proxy that goes on sending by the table of another conductor, whose nodes are gone by the list of this
+/// one: it started with a list without nodes and sent nothing. A conductor that holds no list at all sends nothing.
+#[test]
+fn a_proxy_that_joins_a_conductor_with_an_emptied_list_gets_an_empty_table() {
+    let joined = PeerMessage::ProxyJoined {
+        proxy: ProxyId(0),
+        zone: ZoneId(0),
+        exchanges_per_second: 5.0,
+        only_standing_tables: false,
+        clears_ejections: false,
+        tags: Default::default(),
+    };
+    let mut harness = Harness::knowing(false, list(5, true, &[]));
+    harness.open(1, [joined.clone()]);
+    harness.pass(500);
+    let parts = &harness.written[&ConnectionId(1)][0].parts;
+    assert!(
+        parts.iter().any(|part| part.full && part.classes.is_empty() && part.lines.is_empty()),
+        "{parts:?}"
+    );
+    harness.turn(1, [Input::MembershipUpdate(1, list(6, true, &[0, 1]))]);
+    harness.pass(500);
+    assert_eq!(harness.held(1).tables["quote"].len(), 2);
+
+    let mut harness = Harness::knowing(false, MembershipUpdate::default());
+    harness.open(1, [joined]);
+    harness.pass(5_000);
+    assert_eq!(harness.written.get(&ConnectionId(1)), None);
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,7 @@
 
 mod bindings;
 mod channel;
+mod empty_roster;
 mod evidence;
 mod facts;
 mod flush;
@@ -37,6 +38,7 @@
 
 use bindings::PartLoads;
 use channel::{Channel, Holders, OwnZoneMessages};
+use empty_roster::EmptyRoster;
 use evidence::{Evidence, Symptoms};
 use flush::BoundProxy;
 use herding::{LoadShift, Surroundings};
@@ -296,6 +298,7 @@
     unbound: BTreeSet<Unbound>,
     /// Bound proxies at which nodes that another conductor may have excluded wait to be readmitted.
     awaiting_readmission: BTreeSet<ProxyId>,
+    empty_roster: EmptyRoster,
     channel: Channel,
     fleet: Fleet,
     advice: Advice,
@@ -308,7 +311,7 @@
 type Rule = fn(&mut Balance, &mut dyn Orders) -> bool;
 
 /// The rules, in the order in which they are evaluated.
-const RULES: [Rule; 11] = [
+const RULES: [Rule; 12] = [
     Balance::request_roster,
     Balance::withdraw_unavailable,
     Balance::check_health,
@@ -316,6 +319,7 @@
     Balance::unbind_from_empty_parts,
     Balance::gather_changes,
     Balance::flush,
+    Balance::bind_to_empty_table,
     Balance::bind_waiting,
     Balance::readmit_nodes,
     Balance::request_acknowledgement,
@@ -338,6 +342,7 @@
             proxies: BTreeMap::new(),
             unbound: BTreeSet::new(),
             awaiting_readmission: BTreeSet::new(),
+            empty_roster: EmptyRoster::default(),
             channel: Channel::new(&settings, seed),
             fleet: Fleet::new(now, settings.class_terms.len()),
             advice: Advice::default(),
@@ -359,6 +364,7 @@
         orders: &mut dyn Orders,
     ) {
         self.begin_turn(now);
+        self.empty_roster.is_roster_held = true;
         self.split_table(entries.len());
         self.mark_missing_unavailable(entries);
         for entry in entries {
@@ -419,6 +425,7 @@
         };
         let rate = joined.rate;
         self.unbound.insert(joined.queue_entry(proxy));
+        self.empty_roster.proxies_without_order.insert(proxy);
         self.proxies.insert(proxy, joined);
         self.count_newcomer(rate);
     }
@@ -489,6 +496,7 @@
         if let Some(removed) = self.proxies.remove(&proxy) {
             self.unbound.remove(&removed.queue_entry(proxy));
             self.awaiting_readmission.remove(&proxy);
+            self.empty_roster.proxies_without_order.remove(&proxy);
             self.count_leaver(removed.joined_at, removed.rate);
         }
     }
--- a/src/balance/bindings.rs
+++ b/src/balance/bindings.rs
@@ -197,6 +197,7 @@
             load.add_proxy(proxy);
         }
         self.unbound.remove(&proxy.queue_entry(id));
+        self.empty_roster.proxies_without_order.remove(&id);
         let zone = ZoneId(proxy.zone.0 % self.table.zone_views);
         self.write_zone(zone, orders);
         self.bind_views(id, part, zone, orders);
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -204,7 +204,7 @@
     }
 
     /// Returns the number of lines in a table.
-    fn line_count(&self, table: TableId) -> usize {
+    pub fn line_count(&self, table: TableId) -> usize {
         if table == TableId(0) {
             return self.shared_table.len();
         }
