Judge the silence of a node by the time in which tries came

Callers would see: where the table is one part, and exchanges come again after an idle time, or proxies have just joined, sound nodes that the first reports do not name are put on trial (0.02 of their weight): four of eight in the tests, back 28 s later. With single tries far apart it happens all the time. Found by tests of what a conductor believes after an idle time; in the module alone.

Cause: tries that must have gone unanswered were the time between the node's last success and the fleet's, times the present rate. Time in which nothing was asked counted at that rate, and just after a lone try it is many times the mean.

Change: the time counts from when reports last came anew after an interval and 4 s without any, and silence is no evidence under eight tries in about 3 s.

Failed before: three of five tests of tests/idle_fleet.rs. The other two hold either way: a silent node is found soon after an idle time, and levels, trials and cuts of an overload do not outlast one (suspected, refuted).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -233,6 +233,10 @@
 struct Fleet {
     /// Tries that ended lately.
     tries: TryStats<FLEET_DECAY_MS>,
+    /// When tries were last reported; the start before any were.
+    tries_reported_at: Time,
+    /// When tries were first reported after a time without any.
+    tries_resumed_at: Time,
     /// When a success was last reported.
     last_success: Time,
     /// When the health of nodes was last checked.
@@ -269,11 +273,24 @@
         Fleet {
             strain: Strain::Severe,
             strain_last_confirmed_at: now,
+            tries_reported_at: now,
             proxies_shift_load: true,
             levels: vec![ADMIT_ALL; classes],
             ..Fleet::default()
         }
     }
+
+    /// Adds reported tries, of which `failed` failed. Reports come at the interval `period`.
+    fn record_tries(&mut self, now: Time, summary: &TrySummary, failed: u32, period: Time) {
+        self.tries.add(now, summary, failed);
+        if summary.tries == 0 {
+            return;
+        }
+        if now > self.tries_reported_at + period + HOLD_TIME {
+            self.tries_resumed_at = now;
+        }
+        self.tries_reported_at = now;
+    }
 }
 
 /// The decisions of one conductor.
@@ -441,7 +458,7 @@
     pub fn record_tries(&mut self, now: Time, summary: &TrySummary) {
         self.begin_turn(now);
         let failed = summary.failed.min(summary.tries);
-        self.fleet.tries.add(now, summary, failed);
+        self.fleet.record_tries(now, summary, failed, self.settings.summary_period);
         self.fleet.strain_evidence.record_tries(summary.tries);
         if failed < summary.tries {
             self.fleet.last_success = now;
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -88,8 +88,11 @@
     report_interval: Time,
     /// Time until an order shows in the reports.
     feedback_delay: Time,
-    /// Whether the table is split, in which case the silence of a node is no evidence.
-    split: bool,
+    /// When tries were first reported after a time without any.
+    tries_resumed_at: Time,
+    /// Whether the silence of a node is evidence. It is not where the table is split, nor while hardly any try is
+    /// reported: most nodes are silent then.
+    silence_counts: bool,
 }
 
 impl FleetHealth {
@@ -118,13 +121,14 @@
             && symptoms.mean_time > self.harmful_time() * RECOVERED_FACTOR / HARMFUL_TIME_DIVISOR
     }
 
-    /// Estimates the tries sent to a node of this weight between its last success and the fleet's. Returns 0
-    /// where the table is split.
+    /// Estimates the tries sent to a node of this weight between its last success and the fleet's, while tries came.
+    /// Returns 0 where silence is no evidence.
     fn unanswered_tries(&self, last_success: Time, weight: f64) -> f64 {
-        if self.split {
+        if !self.silence_counts {
             return 0.0;
         }
-        let silence = self.fleet_last_success - last_success - self.report_interval;
+        let silent_since = last_success.max(self.tries_resumed_at);
+        let silence = self.fleet_last_success - silent_since - self.report_interval;
         silence.seconds() * self.tries_per_weight * weight
     }
 
@@ -194,7 +198,8 @@
                 / self.index.total_line_weight(),
             report_interval,
             feedback_delay: self.settings.feedback_delay(),
-            split: self.table.parts != 1,
+            tries_resumed_at: self.fleet.tries_resumed_at,
+            silence_counts: self.table.parts == 1 && self.has_enough_tries(),
         }
     }
 
