Scale, state: name service settings plainly, and import in one direction

crates/scale and crates/state/tests/joining.rs named the settings of a service `mandate`. desired_state/ejections.rs and turn.rs imported each other, as did net/proxy.rs and state.rs of crates/scale: what both need stands in modules of its own now (desired_state/shared_parts.rs, core/proxy.rs). Comments of crates/hooks/src/core/answer.rs in usual words.

--- a/crates/hooks/src/core/answer.rs
+++ b/crates/hooks/src/core/answer.rs
@@ -62,13 +62,13 @@
 /// The rule by which an answer, or a part of it, was cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
-    /// A dispatcher must not be left without a line.
+    /// A proxy must not be left without a line.
     LineRequired,
     /// A hook orders no more tries than the module allows, above all no repeat of an exchange with an effect.
     RetryLimit,
-    /// A node that drains or is gone gets no share.
+    /// A node that is draining or gone gets no share.
     Draining,
-    /// A cold node gets no more than its ramp.
+    /// A node that warms up gets no more than its age allows.
     ColdNode,
     /// A round changes a bounded number of lines, and no share that was changed a moment ago.
     ChangeRate,
--- a/crates/scale/src/core/hollow.rs
+++ b/crates/scale/src/core/hollow.rs
@@ -124,10 +124,10 @@
 
 impl HollowConductor {
     /// Starts a conductor without a known list, as if it had lost all its state.
-    pub fn start(now: Micros, mandate: ServiceSettings, seed: u64) -> HollowConductor {
-        let message_head = mandate.message_overhead_lines;
+    pub fn start(now: Micros, settings: ServiceSettings, seed: u64) -> HollowConductor {
+        let message_head = settings.message_overhead_lines;
         let start = ReducerConfig {
-            settings: mandate,
+            settings,
             class_count: CLASSES.len() as u16,
             seed,
             known_list: MembershipUpdate::default(),
--- a/crates/scale/src/core/mod.rs
+++ b/crates/scale/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod observer;
 pub mod plan;
 pub mod propagation;
+pub mod proxy;
 pub mod proxy_table;
 pub mod push;
 pub mod report;
--- a/crates/scale/src/core/rule_limits.rs
+++ b/crates/scale/src/core/rule_limits.rs
@@ -49,28 +49,28 @@
 }
 
 impl RuleLimits {
-    /// Returns the limits that a mandate sets.
-    pub fn from_mandate(mandate: &ServiceSettings) -> RuleLimits {
-        let max_policy = mandate.class_terms.iter().map(|exchange| match exchange.idempotency {
+    /// Returns the limits that the settings of a service set.
+    pub fn from_settings(settings: &ServiceSettings) -> RuleLimits {
+        let max_policy = settings.class_terms.iter().map(|exchange| match exchange.idempotency {
             Idempotency::Safe => POLICY_TWO_RETRIES,
             Idempotency::Keyed { window, .. } if window >= exchange.deadline => POLICY_TWO_RETRIES,
             Idempotency::Keyed { .. } | Idempotency::Unsafe => POLICY_IF_NEVER_RAN,
         });
         RuleLimits {
             max_policy: max_policy.collect(),
-            without_line: micros(mandate.max_time_without_line),
-            stop_sending_within: micros(mandate.stop_sending_within),
+            without_line: micros(settings.max_time_without_line),
+            stop_sending_within: micros(settings.stop_sending_within),
             slack: TIME_LIMIT_SLACK,
             start_delay: RULES_START_DELAY,
-            cold_from: mandate.cold_capacity_share,
-            warm_up: micros(mandate.warm_up_time),
-            fall_multiple: mandate.cold_overload_factor,
+            cold_from: settings.cold_capacity_share,
+            warm_up: micros(settings.warm_up_time),
+            fall_multiple: settings.cold_overload_factor,
             overload_duration: OVERLOAD_DURATION,
-            lines_per_second: mandate.channel_lines_per_second,
-            max_waiting_lines: mandate.max_queued_lines,
-            message_head: mandate.message_overhead_lines,
-            max_messages: mandate.max_messages,
-            message_window: micros(mandate.message_window),
+            lines_per_second: settings.channel_lines_per_second,
+            max_waiting_lines: settings.max_queued_lines,
+            message_head: settings.message_overhead_lines,
+            max_messages: settings.max_messages,
+            message_window: micros(settings.message_window),
         }
     }
 }
--- a/crates/scale/src/core/settings.rs
+++ b/crates/scale/src/core/settings.rs
@@ -25,6 +25,6 @@
 }
 
 /// Returns the same settings as a conductor parses them.
-pub fn mandate(plan: &Plan) -> Result<ServiceSettings> {
+pub fn service_settings(plan: &Plan) -> Result<ServiceSettings> {
     Ok(oatpitch_settings::from_json(&settings(plan))?.settings)
 }
--- a/crates/scale/src/net/hollow.rs
+++ b/crates/scale/src/net/hollow.rs
@@ -12,7 +12,7 @@
 use crate::core::ids::{Micros, NodeIndex};
 use crate::core::plan::Plan;
 use crate::core::propagation::{LatencySummary, new_histogram};
-use crate::core::settings::mandate;
+use crate::core::settings::service_settings;
 
 /// Memory of this process, in MiB, from which no further conductor is started: under half of a typical machine.
 const MAX_MEMORY_MB: f64 = 11_000.0;
@@ -149,7 +149,7 @@
 
     /// Starts the conductors, each with the list and its proxies, and runs them until they are at rest.
     fn start_conductors(&mut self, count: u32) -> Result<HollowOutcome> {
-        let mandate = mandate(self.plan)?;
+        let settings = service_settings(self.plan)?;
         let list = full_update(&self.fleet);
         for number in 0..count {
             if Instant::now() >= self.deadline {
@@ -159,7 +159,7 @@
                 return Ok(HollowOutcome::OutOfMemory);
             }
             let seed = self.plan.seed.wrapping_add(number.into());
-            let mut conductor = HollowConductor::start(Micros::default(), mandate.clone(), seed);
+            let mut conductor = HollowConductor::start(Micros::default(), settings.clone(), seed);
             conductor.receive_update(LIST_SENT_AT, list.clone());
             conductor.join_proxies(PROXIES_JOIN_AT, self.plan, self.plan.proxies);
             let completed = conductor.run_until(IDLE_FROM, |turn| {
--- a/crates/scale/src/net/point.rs
+++ b/crates/scale/src/net/point.rs
@@ -16,15 +16,16 @@
 use super::conductor::{Conductor, configuration, wait_until_alive};
 use super::discovery;
 use super::lateness::Lateness;
-use super::proxy::{self, Behaviour, Proxy};
+use super::proxy;
 use super::state::PointState;
 use crate::core::churn::Churn;
 use crate::core::fleet::{Change, NodeState, NodeStatus};
 use crate::core::ids::{ConductorIndex, Micros, NodeIndex, ProxyIndex};
 use crate::core::plan::Plan;
+use crate::core::proxy::{Behaviour, Proxy};
 use crate::core::report::{ExternalMetrics, Outcome, PointReport};
 use crate::core::rule_limits::RuleLimits;
-use crate::core::settings::mandate;
+use crate::core::settings::service_settings;
 
 /// Share of the time limit that joining may take, so that a point that isn't served is still measured at rest.
 const MAX_JOINING_SHARE: f64 = 0.6;
@@ -120,7 +121,7 @@
         report: Rc<RefCell<PointReport>>,
         progress: Box<dyn Fn(&str)>,
     ) -> Result<PointRun<'a>> {
-        let state = Rc::new(PointState::new(plan, RuleLimits::from_mandate(&mandate(plan)?)));
+        let state = Rc::new(PointState::new(plan, RuleLimits::from_settings(&service_settings(plan)?)));
         let mut tasks = JoinSet::new();
         let lateness = Lateness::default();
         tasks.spawn_local(lateness.clone().watch());
--- a/crates/scale/src/net/proxy.rs
+++ b/crates/scale/src/net/proxy.rs
@@ -2,7 +2,6 @@
 //! channel, and acknowledges them, but serves no requests.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,15 +11,14 @@
 use tokio::net::TcpStream;
 
 use super::state::PointState;
-use crate::core::ids::{ConductorIndex, Micros, ProxyIndex};
+use crate::core::ids::Micros;
 use crate::core::message::Message;
+use crate::core::proxy::{Behaviour, Proxy, REQUESTS_PER_SECOND};
 use crate::core::push::{DecodeError, Part};
 use crate::core::settings::PUSH_DELAY;
 
 /// The longest line that the protocol allows on a stream.
 const MAX_LINE_BYTES: usize = 1 << 20;
-/// The request rate that every proxy reports.
-pub const REQUESTS_PER_SECOND: f64 = 20.0;
 /// The shortest wait before a proxy reconnects.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// A part of this is added to `RECONNECT_DELAY`, by the index of the proxy, so that not all reconnect at once.
@@ -28,27 +26,6 @@
 /// Step of the added part between one proxy and the next.
 const RECONNECT_STEP_MS: u64 = 7;
 
-/// How a proxy treats its stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behaviour {
-    /// Reads, applies and acknowledges messages.
-    Answers,
-    /// Reads and applies messages, but never acknowledges them.
-    Mute,
-    /// Neither reads nor acknowledges.
-    Hangs,
-}
-
-/// A proxy and its conductor.
-#[derive(Clone, Copy, Debug)]
-pub struct Proxy {
-    pub index: ProxyIndex,
-    pub conductor: ConductorIndex,
-    /// The address that the conductor listens on.
-    pub address: SocketAddr,
-    pub behaviour: Behaviour,
-}
-
 /// Runs a proxy: it joins its conductor, and joins again whenever the stream ends, until the task is dropped.
 pub async fn run(state: Rc<PointState>, proxy: Proxy) {
     let mut fresh = true;
--- a/crates/scale/src/net/state.rs
+++ b/crates/scale/src/net/state.rs
@@ -6,12 +6,12 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::proxy::{Behaviour, Proxy, REQUESTS_PER_SECOND};
 use crate::core::checker::StreamEnd;
 use crate::core::fleet::{Change, Fleet, NodeStatus};
 use crate::core::ids::{ConductorIndex, Micros, ProxyIndex};
 use crate::core::observer::Observer;
 use crate::core::plan::Plan;
+use crate::core::proxy::{Behaviour, Proxy, REQUESTS_PER_SECOND};
 use crate::core::push::Decoder;
 use crate::core::rule_limits::RuleLimits;
 use crate::core::settings::CLASSES;
--- a/crates/scale/tests/work.rs
+++ b/crates/scale/tests/work.rs
@@ -13,7 +13,7 @@
 use oatpitch_scale::core::plan::Plan;
 use oatpitch_scale::core::push::Part;
 use oatpitch_scale::core::rule_limits::RuleLimits;
-use oatpitch_scale::core::settings::{PUSH_DELAY, mandate};
+use oatpitch_scale::core::settings::{PUSH_DELAY, service_settings};
 
 const CONDUCTOR: ConductorIndex = ConductorIndex(0);
 const RATE: f64 = 20.0;
@@ -40,11 +40,11 @@
 
 impl Simulation {
     fn start(plan: &Plan, tamper: fn(Part) -> Part) -> Simulation {
-        let mandate = mandate(plan).expect("settings of the test");
+        let settings = service_settings(plan).expect("settings of the test");
         let mut simulation = Simulation {
             fleet: Fleet::new(plan, EPOCH_MS),
-            checker: Checker::new(RuleLimits::from_mandate(&mandate), 1, plan.proxies),
-            conductor: HollowConductor::start(ms(0), mandate, plan.seed),
+            checker: Checker::new(RuleLimits::from_settings(&settings), 1, plan.proxies),
+            conductor: HollowConductor::start(ms(0), settings, plan.seed),
             tamper,
             in_transit: Vec::new(),
         };
--- a/crates/state/src/desired_state.rs
+++ b/crates/state/src/desired_state.rs
@@ -11,6 +11,7 @@
 
 mod ejections;
 mod orders;
+mod shared_parts;
 mod turn;
 
 use ejections::EjectionsSent;
--- a/crates/state/src/desired_state/ejections.rs
+++ b/crates/state/src/desired_state/ejections.rs
@@ -3,7 +3,7 @@
 
 use rpds::RedBlackTreeMap;
 
-use super::turn::SharedParts;
+use super::shared_parts::SharedParts;
 use super::*;
 
 /// What a proxy was sent about the ejection of nodes on its stream: true for ejected, false for restored. Proxies that
--- a/crates/state/src/desired_state/turn.rs
+++ b/crates/state/src/desired_state/turn.rs
@@ -1,6 +1,7 @@
 //! The end of a turn: what changed for each stream, as messages that streams with the same content share.
 
 use super::ejections::{EjectionChanges, Readmission, readmission};
+use super::shared_parts::SharedParts;
 use super::*;
 use crate::counters::Counters;
 use crate::invariant;
@@ -14,19 +15,6 @@
     newly_bound: Option<&'a BTreeSet<ClassId>>,
 }
 
-/// What a turn sends to all streams with the same [`PartsKey`].
-pub(super) struct SharedParts {
-    pub parts: Vec<Part>,
-    /// Nodes with a line in the parts.
-    pub listed: BTreeSet<NodeId>,
-    /// Those of the listed nodes that are withdrawn.
-    pub withdrawn: Vec<NodeId>,
-    /// Those of the listed nodes that another conductor may have ejected at the proxy, by what this one has seen.
-    pub possibly_ejected: Vec<NodeId>,
-    /// Of each full table, the nodes with the greatest weights.
-    pub heaviest: BTreeMap<TableId, Vec<NodeId>>,
-}
-
 /// Everything that decides what a turn sends to a stream.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct UpdateKey<'a> {
--- a/crates/state/tests/joining.rs
+++ b/crates/state/tests/joining.rs
@@ -16,7 +16,7 @@
 const PROXIES: u64 = 1_000;
 const DRAINED: usize = 20;
 
-fn mandate() -> ServiceSettings {
+fn service_settings() -> ServiceSettings {
     let ms = Time::from_ms;
     let terms = |repeat| ExchangeTerms {
         target_time: ms(1_000),
@@ -96,7 +96,7 @@
     fn begin(mute: bool) -> Channel {
         let now = Time::from_ms(1_000_000);
         let start = ReducerConfig {
-            settings: mandate(),
+            settings: service_settings(),
             class_count: 2,
             seed: 7,
             known_list: MembershipUpdate::default(),
@@ -125,7 +125,8 @@
         for effect in effects {
             match effect {
                 Effect::SendMessage(to, message) => {
-                    let lines = to.len() as f64 * (message.cost() as f64 + mandate().message_overhead_lines);
+                    let lines =
+                        to.len() as f64 * (message.cost() as f64 + service_settings().message_overhead_lines);
                     self.waiting += lines;
                     self.entered += lines;
                     self.queue.push_back(Queued { lines, to, message, since: self.now });
@@ -155,11 +156,11 @@
                 let gone = part.lines.iter().filter(|line| line.1 == 0.0).map(|line| line.0.to_string());
                 self.drained.entry(*conn).or_default().extend(out.chain(gone));
                 if let Some(mark) = part.mark.filter(|_| !self.mute) {
-                    let took = self.now - queued.since + mandate().mean_delivery_delay;
+                    let took = self.now - queued.since + service_settings().mean_delivery_delay;
                     let proxy = ProxyId(conn.0 as _);
                     let said = PeerMessage::Acknowledged { proxy, mark: mark.into(), elapsed: took };
                     self.answers.push_back((
-                        self.now + mandate().mean_delivery_delay,
+                        self.now + service_settings().mean_delivery_delay,
                         Input::MessageReceived(*conn, said),
                     ));
                 }
@@ -169,7 +170,7 @@
 
     fn step(&mut self, mut inputs: Vec<Input>) {
         self.now = self.now + STEP;
-        let mut sends = mandate().channel_lines_per_second * STEP.seconds();
+        let mut sends = service_settings().channel_lines_per_second * STEP.seconds();
         while sends > 0.0 {
             let Some(front) = self.queue.front_mut() else { break };
             let sent = front.lines.min(sends);
@@ -230,18 +231,18 @@
         let used = channel.bound.iter().any(|conn| channel.drained[conn].len() < DRAINED);
         last = if used { channel.now } else { last };
     }
-    ((last - told).seconds() + mandate().mean_delivery_delay.seconds(), channel.most)
+    ((last - told).seconds() + service_settings().mean_delivery_delay.seconds(), channel.most)
 }
 
 /// Guards against a mass join whose tables fill the channel for longer than a drain may take, and against tables that
 /// are estimated without the nodes that they restore.
 #[test]
 fn a_drain_during_a_mass_join_takes_effect_in_time() {
-    let grace = mandate().stop_sending_within.seconds();
-    let sends = mandate().channel_lines_per_second
-        * (mandate().stop_sending_within - mandate().max_delivery_delay).seconds();
+    let grace = service_settings().stop_sending_within.seconds();
+    let sends = service_settings().channel_lines_per_second
+        * (service_settings().stop_sending_within - service_settings().max_delivery_delay).seconds();
     // Ejections are added: a line for each node, and the overhead and a mark for each proxy.
-    let ejections = PROXIES as f64 * (DRAINED as f64 + mandate().message_overhead_lines + 1.0);
+    let ejections = PROXIES as f64 * (DRAINED as f64 + service_settings().message_overhead_lines + 1.0);
     for mute in [false, true] {
         for drained_after in [0, 50, 200] {
             let (kept_after, most) = play(mute, drained_after);
