Use only those listed weights that the streams' numbers can hold

A hint of 1e-50 is sent as 0, which takes the line out while the conductor counts it as in use.

Cause: weights are 64-bit numbers in the module and 32-bit ones on the stream, and were checked for being finite and above 0 as the former.

Change: weights from 1e-9 to 1e9 are used as they are, any other counts as 1, as one that was no number did.

a_capacity_hint_beyond_the_numbers_of_the_stream_reaches_no_proxy failed before (null, null, 0.0 for 1.0).

--- a/crates/conductor/tests/conductor.rs
+++ b/crates/conductor/tests/conductor.rs
@@ -56,6 +56,29 @@
     assert!(!log.contains("missed"), "{log}");
 }
 
+/// Guards against a table that no proxy can read, which resets its stream again and again: a capacity hint too large or too
+/// small for the numbers of the stream was written as `null` or 0.
+#[test]
+fn a_capacity_hint_beyond_the_numbers_of_the_stream_reaches_no_proxy() {
+    let (address, answers, _paths) = start_discovery();
+    let (_lines, watch) = channel();
+    answers.send(Answer::Watch(watch)).expect("running");
+    let mut config = config(address);
+    let mut targets = Vec::new();
+    for (node, hint) in [1e300, 1e39, 1e-50, 2.0].into_iter().enumerate() {
+        let mut entry = roster_entry(&format!("s-{node}"), "active");
+        entry["capacity_hint"] = json!(hint);
+        targets.push(entry);
+    }
+    config["known"]["targets"] = targets.into();
+    let conductor = Conductor::start("hints", &config);
+    let mut proxy = conductor.connect();
+    proxy.hello(17);
+    let table = proxy.receive_until(is_full);
+    let endpoints = json!([["s-0", 1.0], ["s-1", 1.0], ["s-2", 1.0], ["s-3", 2.0]]);
+    assert_eq!(table["endpoints"], endpoints);
+}
+
 /// Guards against an invalid message costing its connection or the valid messages around it, and against
 /// keeping a connection whose data cannot become a message, whether its line ends or not.
 #[test]
--- a/src/balance/roster.rs
+++ b/src/balance/roster.rs
@@ -1,10 +1,15 @@
 //! Applies the entries of the roster to nodes.
 
+use std::ops::RangeInclusive;
+
 use super::*;
 
 /// Time after which a node that is gone is forgotten.
 const GONE_NODE_RETENTION: Time = Time::from_ms(600_000);
 
+/// Listed weights that are used as they are. Streams carry weights as 32-bit numbers, and lines stand at shares of them.
+const USABLE_WEIGHTS: RangeInclusive<f64> = 1e-9..=1e9;
+
 impl Balance {
     /// Splits the table into parts for a number of nodes. This happens once, with the first nodes of the
     /// roster, whether they come as a whole roster or as changed entries.
@@ -52,9 +57,8 @@
         }
         node.zone = entry.zone;
         node.machine_kind = entry.machine_kind;
-        // An invalid weight of the roster must not reach a table.
-        let valid = entry.weight.is_finite() && entry.weight > 0.0;
-        node.listed_weight = if valid { entry.weight } else { 1.0 };
+        // An invalid weight of the roster must not reach a table: proxies can't read it and reset their streams.
+        node.listed_weight = if USABLE_WEIGHTS.contains(&entry.weight) { entry.weight } else { 1.0 };
         if node.is_new() || entry.started > node.started {
             node.restart(entry.started, self.now, &self.settings);
         }
