--- a/crates/state/src/reducer/connections.rs
+++ b/crates/state/src/reducer/connections.rs
@@ -190,6 +190,9 @@
         if update.entries.is_empty() && update.unreadable_entries > 0 {
             return;
         }
+        if update.full && update.entries.is_empty() {
+            self.warn("discovery: the list has no nodes; proxies are told to use none".into());
+        }
         self.has_list = true;
         self.answer_probes();
     }
--- a/crates/state/src/tests/membership.rs
+++ b/crates/state/src/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use super::harness::{Harness, entry, hello, list};
 use crate::inbound::{MembershipEntry, MembershipUpdate, PeerMessage};
-use crate::{ConnectionId, Input};
+use crate::{ConnectionId, Effect, Input, LogLevel};
 
 #[test]
 fn a_proxy_is_bound_from_the_known_list_and_follows_changes() {
@@ -130,6 +130,9 @@
     let mut harness = Harness::knowing(false, list(5, true, &[]));
     harness.open(1, [joined.clone()]);
     harness.pass(500);
+    let text = "discovery: the list has no nodes; proxies are told to use none";
+    let warning = Effect::Log(LogLevel::Warning, text.into());
+    assert_eq!(harness.effects.iter().filter(|effect| **effect == warning).count(), 1);
     let parts = &harness.written[&ConnectionId(1)][0].parts;
     assert!(
         parts.iter().any(|part| part.full && part.classes.is_empty() && part.lines.is_empty()),
