Count the tries that a silent node missed, where the rate says more

Callers would see: where the table is one part, and exchanges become few all at once, up to six of eight sound nodes are put on trial.

Cause: the tries that must have gone unanswered were worked out by the present rate, which lags behind a fall by some seconds, and is high just after a lone try.

Change: they are the lower of that and of the tries that were reported of all nodes while the node was silent, by its share of the weight. The count begins once its next report is late, so that reports of one interval in any order don't count.

a_sound_fleet_keeps_its_weights_whatever_comes_to_it failed before (60 fleets). Tests of silent nodes hold as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,6 +133,8 @@
     failure_streak: u32,
     /// When a success was last reported.
     last_success: Time,
+    /// [`Fleet::reported_tries`] when its last success was within one interval of reports.
+    fleet_tries_before_silence: u64,
     /// Share of its weight that its health leaves it; 0 until the node is first listed as ready.
     health_share: f64,
     /// Reports that arrive before this time describe the node as it was before its last change.
@@ -233,6 +235,8 @@
 struct Fleet {
     /// Tries that ended lately.
     tries: TryStats<FLEET_DECAY_MS>,
+    /// Tries reported since the start (count).
+    reported_tries: u64,
     /// When tries were last reported; the start before any were.
     tries_reported_at: Time,
     /// When tries were first reported after a time without any.
@@ -283,6 +287,7 @@
     /// Adds reported tries, of which `failed` failed. Reports come at the interval `period`.
     fn record_tries(&mut self, now: Time, summary: &TrySummary, failed: u32, period: Time) {
         self.tries.add(now, summary, failed);
+        self.reported_tries = self.reported_tries.saturating_add(summary.tries.into());
         if summary.tries == 0 {
             return;
         }
@@ -464,7 +469,7 @@
             self.fleet.last_success = now;
         }
         if let Some(node) = self.nodes.get_mut(&summary.node) {
-            node.record_tries(now, summary, failed);
+            node.record_tries(now, summary, failed, self.fleet.reported_tries);
             self.index_node(summary.node);
         }
     }
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -84,6 +84,10 @@
     fleet_last_success: Time,
     /// Tries a second that come to a unit of weight.
     tries_per_weight: f64,
+    /// Weight of all lines.
+    line_weight: f64,
+    /// Tries reported since the start (count).
+    reported_tries: u64,
     /// Interval of the reports.
     report_interval: Time,
     /// Time until an order shows in the reports.
@@ -121,8 +125,8 @@
             && symptoms.mean_time > self.harmful_time() * RECOVERED_FACTOR / HARMFUL_TIME_DIVISOR
     }
 
-    /// Estimates the tries sent to a node of this weight between its last success and the fleet's, while tries came.
-    /// Returns 0 where silence is no evidence.
+    /// Estimates the tries sent to a node of this weight between its last success and the fleet's, by the present rate
+    /// and the time in which tries came. Returns 0 where silence is no evidence.
     fn unanswered_tries(&self, last_success: Time, weight: f64) -> f64 {
         if !self.silence_counts {
             return 0.0;
@@ -132,11 +136,24 @@
         silence.seconds() * self.tries_per_weight * weight
     }
 
+    /// Estimates the tries sent to a node of this weight while it was silent, by how many were reported of all nodes since
+    /// then. This is less than by the present rate where that is high only for a moment, or lags behind a fall.
+    fn tries_reported_in_silence(&self, node: &Node, weight: f64) -> f64 {
+        let reported = self.reported_tries.saturating_sub(node.fleet_tries_before_silence);
+        reported as f64 / self.line_weight * weight
+    }
+
+    /// Whether a node is not silent yet: its next report may still come within the usual interval.
+    fn may_be_reported_in_time(&self, node: &Node) -> bool {
+        self.now < node.last_success + self.report_interval
+    }
+
     /// Whether a node has failed so many tries in a row that it counts as silent, hung, cut off or dead.
     fn is_unresponsive(&self, node: &Node, weight: f64) -> bool {
         // A node that fails many tries anyway, as an overloaded one does, may fail a few in a row by chance.
         let streak_min = FAILURE_STREAK * (1.0 + 2.0 * node.tries.failure_share_and_mean_time(self.now).0);
-        let unanswered = self.unanswered_tries(node.last_success, weight);
+        let by_rate = self.unanswered_tries(node.last_success, weight);
+        let unanswered = by_rate.min(self.tries_reported_in_silence(node, weight));
         f64::from(node.failure_streak).max(unanswered) >= streak_min
             && self.better_failed_share < FAILED_SHARE_ABOVE_MEDIAN
     }
@@ -184,6 +201,7 @@
         let (all_failed_share, all_time) = self.fleet.tries.failure_share_and_mean_time(self.now);
         let most_reported = evidence.nodes() * 2 >= self.index.ready_count();
         let report_interval = self.settings.summary_period;
+        let line_weight = self.index.total_line_weight();
         FleetHealth {
             now: self.now,
             better_failed_share: evidence.failed_share_quantile(HEALTHY_QUANTILE),
@@ -194,8 +212,9 @@
             others_mean_time: if most_reported { median_time.min(all_time) } else { all_time },
             target_time: self.mean_target(),
             fleet_last_success: self.fleet.last_success,
-            tries_per_weight: self.fleet.tries.count.rate(self.now, report_interval)
-                / self.index.total_line_weight(),
+            tries_per_weight: self.fleet.tries.count.rate(self.now, report_interval) / line_weight,
+            line_weight,
+            reported_tries: self.fleet.reported_tries,
             report_interval,
             feedback_delay: self.settings.feedback_delay(),
             tries_resumed_at: self.fleet.tries_resumed_at,
@@ -255,6 +274,9 @@
         if node.advance_warm_up(self.now, &self.settings) {
             self.table.nodes_to_recheck.insert(id);
         }
+        if fleet.may_be_reported_in_time(node) {
+            node.fleet_tries_before_silence = fleet.reported_tries;
+        }
         let symptoms = node.symptoms(self.now, evidence.cohort_totals(node));
         let weight = self.table.pushed_weight(&id);
         node.update_headroom(weight, fleet);
@@ -382,5 +404,6 @@
         self.failure_streak = 0;
         self.tries = TryStats::default();
         self.last_success = now + delay;
+        self.fleet_tries_before_silence = fleet.reported_tries;
     }
 }
--- a/src/balance/roster.rs
+++ b/src/balance/roster.rs
@@ -61,6 +61,7 @@
         node.listed_weight = if USABLE_WEIGHTS.contains(&entry.weight) { entry.weight } else { 1.0 };
         if node.is_new() || entry.started > node.started {
             node.restart(entry.started, self.now, &self.settings);
+            node.fleet_tries_before_silence = self.fleet.reported_tries;
         }
         self.refresh(entry.node);
     }
@@ -135,14 +136,16 @@
         self.warm_up_step == WARM_UP_STEPS
     }
 
-    /// Adds reported tries, of which `failed` failed, and the load report that came with them.
-    pub(super) fn record_tries(&mut self, now: Time, summary: &TrySummary, failed: u32) {
+    /// Adds reported tries, of which `failed` failed, and the load report that came with them. `fleet_tries` counts those
+    /// reported of all nodes, these included.
+    pub(super) fn record_tries(&mut self, now: Time, summary: &TrySummary, failed: u32, fleet_tries: u64) {
         // A delayed report describes the time before the last change: it must not count against a restarted
         // node.
         let current = now >= self.ignore_reports_until;
         if failed < summary.tries {
             self.failure_streak = 0;
             self.last_success = now;
+            self.fleet_tries_before_silence = fleet_tries;
         } else if current || self.is_warmed_up() {
             self.failure_streak = self.failure_streak.saturating_add(failed);
         }
--- a/tests/idle_fleet.rs
+++ b/tests/idle_fleet.rs
@@ -89,3 +89,55 @@
         assert_listed_weights(&scenario);
     }
 }
+
+/// Returns a number of tries drawn from a Poisson distribution.
+fn random_tries(random: &mut fastrand::Rng, mean: f64) -> u32 {
+    let limit = (-mean).exp();
+    let mut product = random.f64();
+    let mut count = 0;
+    while product > limit {
+        product *= random.f64();
+        count += 1;
+    }
+    count
+}
+
+/// Guards against sound nodes that are put on trial, or limits without an overload, because exchanges become few or many,
+/// stop, or proxies leave and others join.
+#[test]
+fn a_sound_fleet_keeps_its_weights_whatever_comes_to_it() {
+    const TRIES_PER_NODE: [f64; 6] = [0.05, 0.3, 1.0, 5.0, 20.0, 60.0];
+    for seed in 0..60 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut scenario = Scenario::new(|_| {});
+        let mut mean = 20.0;
+        let mut is_joined = true;
+        for _ in 0..300 {
+            match random.u8(0..20) {
+                0 => scenario.run_seconds(random.u64(1..120), |_| None),
+                1 => mean = TRIES_PER_NODE[random.usize(0..TRIES_PER_NODE.len())],
+                2 if is_joined => {
+                    (0..6).for_each(|proxy| scenario.leave(proxy));
+                    is_joined = false;
+                }
+                2 => {
+                    (0..6).for_each(|proxy| scenario.join(proxy, false));
+                    is_joined = true;
+                }
+                _ => {}
+            }
+            for k in (0..8).filter(|_| is_joined) {
+                let count = random_tries(&mut random, mean);
+                if count > 0 {
+                    scenario.report_tries(k, tries(count, 0, 100).expect("a report"));
+                }
+            }
+            scenario.run_seconds(1, |_| None);
+            assert_listed_weights(&scenario);
+            assert!(
+                scenario.host.admitted_amounts.values().all(|amount| *amount == ADMIT_ALL),
+                "seed {seed}"
+            );
+        }
+    }
+}
